--- /dev/null
+++ b/src/app/main.cpp
@@ -0,0 +1,132 @@
+// The program: serves a controller, checks its settings, or speaks to one as a client.
+#include <CLI/CLI.hpp>
+#include <csignal>
+#include <cstdlib>
+#include <iostream>
+#include <random>
+
+#include "app/node.hpp"
+#include "app/settings.hpp"
+#include "net/evhttp_client.hpp"
+#include "net/evhttp_server.hpp"
+#include "net/peer_link.hpp"
+#include "runtime/event_loop.hpp"
+#include "runtime/log.hpp"
+
+namespace {
+
+using namespace bankhill;
+
+constexpr int kExitFailure = 1;
+constexpr int kExitSettings = 2;
+constexpr double kClientTimeoutS = 5;
+
+std::string log_level() {
+  const char* level = std::getenv("LOG_LEVEL");
+  return level == nullptr || *level == '\0' ? "info" : level;
+}
+
+app::Settings load(const std::string& config, const std::string& operator_config) {
+  auto settings = app::parse_settings(app::read_file(config));
+  if (!operator_config.empty()) settings.own = app::parse_operator_settings(app::read_file(operator_config));
+  return settings;
+}
+
+void serve(const app::Settings& settings) {
+  std::signal(SIGPIPE, SIG_IGN);
+  const auto log = runtime::make_log("bankhill", log_level());
+  runtime::EventLoop loop;
+  const std::uint64_t incarnation = loop.random()() >> 1;
+  net::EvhttpClient client(loop, log);
+  std::vector<net::Sibling> siblings;
+  for (const auto& sibling : settings.siblings) siblings.push_back({sibling.host_name, sibling.addr});
+  net::PeerLink peers(loop, log, settings.host_name, incarnation, settings.peer_listen, std::move(siblings),
+                      settings.report_s);
+  app::Node node(loop, log, settings, incarnation, client, peers);
+  // Workers and users may be silent between requests for several report intervals.
+  net::EvhttpServer server(loop, settings.api_addr, settings.lease_s,
+                           [&node](net::Request request, net::Reply reply) {
+                             node.handle(std::move(request), std::move(reply));
+                           });
+  log->info("bankhill {}: {} in {} serves on {}", BANKHILL_VERSION, settings.host_name, settings.zone,
+            settings.api_addr);
+  node.start();
+  loop.run();
+}
+
+// One request to a controller, for the client commands; prints the answer.
+int ask(const std::string& server, net::Method method, const std::string& path, const std::string& body) {
+  runtime::EventLoop loop;
+  net::EvhttpClient client(loop, runtime::make_log("bankhill", log_level()));
+  net::Response answer;
+  client.send(server, {method, path, body}, kClientTimeoutS, [&](net::Response response) {
+    answer = std::move(response);
+    loop.stop();
+  });
+  loop.run();
+  if (answer.status == 0) {
+    std::cerr << "bankhill: no answer from " << server << "\n";
+    return kExitFailure;
+  }
+  std::cout << answer.body << "\n";
+  if (answer.status < 300) return 0;
+  std::cerr << "bankhill: status " << answer.status << "\n";
+  return kExitFailure;
+}
+
+}  // namespace
+
+int main(int argc, char** argv) {
+  CLI::App program{"bankhill: a cluster scheduler that rents its machines"};
+  program.set_version_flag("--version", std::string("bankhill ") + BANKHILL_VERSION);
+  std::string config;
+  std::string operator_config;
+  bool check = false;
+  program.add_option("--config", config, "settings file of the platform (JSON)");
+  program.add_option("--operator-config", operator_config, "operators' own settings (YAML)");
+  program.add_flag("--check", check, "check the settings and exit");
+
+  std::string server = "127.0.0.1:8080";
+  std::string file;
+  std::string uid;
+  auto* submit = program.add_subcommand("submit", "submit a job described in a JSON file");
+  submit->add_option("--server", server, "address of a controller")->capture_default_str();
+  submit->add_option("file", file, "the job")->required();
+  auto* status = program.add_subcommand("status", "show the state of a job");
+  status->add_option("--server", server, "address of a controller")->capture_default_str();
+  status->add_option("uid", uid, "the job's id")->required();
+  auto* withdraw = program.add_subcommand("withdraw", "cancel a job");
+  withdraw->add_option("--server", server, "address of a controller")->capture_default_str();
+  withdraw->add_option("uid", uid, "the job's id")->required();
+  program.require_subcommand(0, 1);
+  CLI11_PARSE(program, argc, argv);
+
+  try {
+    if (*submit) {
+      const auto job = wire::parse_job(wire::parse_object(app::read_file(file)));
+      return ask(server, net::Method::post, "/submissions", to_json(job).dump());
+    }
+    if (*status || *withdraw) {
+      if (!wire::parse_job_id(uid)) throw app::BadSettings("not a job's id: " + uid);
+      return *status ? ask(server, net::Method::get, "/submissions/" + uid, "")
+                     : ask(server, net::Method::post, "/submissions/" + uid + "/withdraw", "{}");
+    }
+    if (config.empty()) throw app::BadSettings("--config is missing; see --help");
+    const auto settings = load(config, operator_config);
+    if (check) {
+      std::cout << "settings are fine\n";
+      return 0;
+    }
+    serve(settings);
+  } catch (const app::BadSettings& error) {
+    std::cerr << "bankhill: " << error.what() << "\n";
+    return kExitSettings;
+  } catch (const wire::Malformed& error) {
+    std::cerr << "bankhill: " << error.what() << "\n";
+    return kExitSettings;
+  } catch (const std::exception& error) {
+    std::cerr << "bankhill: " << error.what() << "\n";
+    return kExitFailure;
+  }
+  return kExitFailure;
+}
--- /dev/null
+++ b/src/app/node.cpp
@@ -0,0 +1,90 @@
+#include "app/node.hpp"
+
+#include <utility>
+
+namespace bankhill::app {
+
+namespace {
+
+leader::Settings leader_settings(const Settings& settings, std::uint64_t incarnation) {
+  leader::Settings result;
+  result.node = settings.host_name;
+  result.incarnation = incarnation;
+  result.report_s = settings.report_s;
+  result.lease_s = settings.lease_s;
+  result.cancel_s = settings.cancel_s;
+  result.list_lag_s = settings.list_lag_s;
+  result.txn_ops = settings.state_txn_ops;
+  for (const auto& team : settings.teams) result.teams.push_back({team.name, team.guarantee, team.limit});
+  result.within_s = settings.within_s;
+  result.alpha = settings.own.alpha;
+  result.phi = settings.own.phi;
+  result.round_s = settings.own.round_reports * settings.report_s;
+  result.idle_s = settings.own.idle_reports * settings.report_s;
+  return result;
+}
+
+std::vector<gateway::TeamLimit> limits(const Settings& settings) {
+  std::vector<gateway::TeamLimit> result;
+  for (const auto& team : settings.teams) result.push_back({team.name, team.limit});
+  return result;
+}
+
+std::vector<std::string> names(const Settings& settings) {
+  std::vector<std::string> result;
+  for (const auto& sibling : settings.siblings) result.push_back(sibling.host_name);
+  return result;
+}
+
+}  // namespace
+
+Node::Node(runtime::Loop& loop, runtime::Log log, const Settings& settings, std::uint64_t incarnation,
+           net::Client& client, net::PeerPort& peers)
+    : store_(loop, client, log, settings.state,
+             {settings.state_rps, settings.state_write_rps, settings.state_value_kb, settings.state_txn_ops}),
+      cloud_(loop, client, log, settings.cloud, settings.cloud_rps),
+      relay_(loop, names(settings), settings.report_s / 6,
+             {peers,
+              [this](net::Request request, net::Reply reply) { route(std::move(request), std::move(reply), true); },
+              [this] { return wire::Beat{leader_.term(), gateway_.state_ok(), leader_.valid()}; },
+              [this](wire::Progress progress) { gateway_.tell(gateway::Progressed{std::move(progress)}); }}),
+      elector_(loop, store_, log, settings.host_name, incarnation,
+               election::timing_from(settings.lease_s, settings.cancel_s),
+               [this](election::Validity validity) { leader_.tell(leader::Valid{validity.hold, validity.until}); }),
+      leader_(loop, log, leader_settings(settings, incarnation),
+              {store_, cloud_, client, [this] { elector_.tell(election::RaiseTerm{}); },
+               [this](wire::Progress progress) {
+                 gateway_.tell(gateway::Progressed{progress});
+                 relay_.tell(net::Broadcast{std::move(progress)});
+               }}),
+      desk_(loop, log, settings.host_name, settings.report_s,
+            {relay_, [this] { return leader_.valid(); },
+             [this](wire::Report report, net::Reply reply) {
+               leader_.tell(leader::Reported{std::move(report), std::move(reply)});
+             }}),
+      gateway_(loop, log, store_, relay_, limits(settings), settings.own.final_states_kept) {
+  peers.listen([this](const std::string& node, wire::Frame frame) {
+    relay_.tell(net::Received{node, std::move(frame)});
+  });
+  store_.subscribe([this](const state::Changes& changes) { elector_.tell(election::Changed{changes}); });
+  store_.subscribe([this](const state::Changes& changes) { leader_.tell(leader::Changed{changes}); });
+  store_.subscribe([this](const state::Changes& changes) { desk_.tell(workers::Changed{changes}); });
+  store_.subscribe([this](const state::Changes& changes) { gateway_.tell(gateway::Changed{changes}); });
+}
+
+void Node::start() {
+  store_.start();
+  elector_.start();
+  leader_.start();
+  relay_.start();
+}
+
+void Node::route(net::Request request, net::Reply reply, bool relayed) {
+  if (request.path == "/v1/report") {
+    if (request.method != net::Method::post) return reply({405, "{}", std::nullopt});
+    return desk_.tell(workers::ReportCall{std::move(request), std::move(reply), relayed});
+  }
+  gateway_.tell(gateway::UserCall{std::move(request), std::move(reply), relayed});
+}
+
+}  // namespace bankhill::app
--- /dev/null
+++ b/src/app/node.hpp
@@ -0,0 +1,41 @@
+// One controller: every actor, wired together over a loop, an HTTP client and a peer port.
+#pragma once
+
+#include <memory>
+
+#include "app/settings.hpp"
+#include "cloud/cloud.hpp"
+#include "election/elector.hpp"
+#include "gateway/gateway.hpp"
+#include "leader/leader.hpp"
+#include "net/http.hpp"
+#include "net/relay.hpp"
+#include "runtime/loop.hpp"
+#include "state/store.hpp"
+#include "workers/desk.hpp"
+
+namespace bankhill::app {
+
+class Node {
+ public:
+  Node(runtime::Loop& loop, runtime::Log log, const Settings& settings, std::uint64_t incarnation,
+       net::Client& client, net::PeerPort& peers);
+  void start();
+  // Serves a request of a user, a worker or the load balancer.
+  void handle(net::Request request, net::Reply reply) { route(std::move(request), std::move(reply), false); }
+  bool leading() const { return leader_.valid(); }
+  std::uint64_t term() const { return leader_.term(); }
+
+ private:
+  void route(net::Request request, net::Reply reply, bool relayed);
+
+  state::Store store_;
+  cloud::Cloud cloud_;
+  net::Relay relay_;
+  election::Elector elector_;
+  leader::Leader leader_;
+  workers::Desk desk_;
+  gateway::Gateway gateway_;
+};
+
+}  // namespace bankhill::app
--- /dev/null
+++ b/src/app/settings.cpp
@@ -0,0 +1,150 @@
+#include "app/settings.hpp"
+
+#include <yaml-cpp/yaml.h>
+
+#include <algorithm>
+#include <cmath>
+#include <fstream>
+#include <functional>
+#include <iterator>
+
+namespace bankhill::app {
+
+using wire::Json;
+
+namespace {
+
+const Json& section(const Json& object, const char* name) {
+  const auto found = object.find(name);
+  if (found == object.end()) throw BadSettings(std::string("settings: field '") + name + "' is missing");
+  if (!found->is_object()) throw BadSettings(std::string("settings: field '") + name + "' is not an object");
+  return *found;
+}
+
+const Json& list(const Json& object, const char* name) {
+  const auto found = object.find(name);
+  if (found == object.end()) throw BadSettings(std::string("settings: field '") + name + "' is missing");
+  if (!found->is_array()) throw BadSettings(std::string("settings: field '") + name + "' is not a list");
+  return *found;
+}
+
+double positive(const Json& object, const char* name) {
+  const double value = wire::amount_field(object, name);
+  if (value <= 0) throw BadSettings(std::string("settings: field '") + name + "' must be above 0");
+  return value;
+}
+
+std::string address(const Json& object, const char* name) {
+  auto text = wire::text_field(object, name);
+  const auto colon = text.rfind(':');
+  const auto port = colon == std::string::npos ? std::string() : text.substr(colon + 1);
+  const bool number =
+      !port.empty() && port.size() <= 5 && std::all_of(port.begin(), port.end(), [](char c) { return c >= '0' && c <= '9'; });
+  if (!number || std::stoul(port) == 0 || std::stoul(port) > 65535)
+    throw BadSettings(std::string("settings: field '") + name + "' is not an address with a port");
+  return text;
+}
+
+double amount_or_zero(const Json& object, const char* name) {
+  return wire::absent(object, name) ? 0 : wire::amount_field(object, name);
+}
+
+Settings parse(const Json& root) {
+  Settings settings;
+  settings.host_name = wire::text_field(root, "host_name");
+  settings.zone = wire::text_field(root, "zone");
+  settings.api_addr = address(root, "api_addr");
+  settings.peer_listen = address(root, "peer_listen");
+  for (const auto& item : list(root, "siblings"))
+    settings.siblings.push_back({wire::text_field(item, "host_name"), address(item, "addr")});
+  const auto& external = section(root, "external");
+  settings.cloud = address(external, "cloud");
+  settings.state = address(external, "state");
+  const auto& params = section(root, "params");
+  for (const auto& item : list(params, "teams")) {
+    TeamSettings team;
+    team.name = wire::text_field(item, "name");
+    team.guarantee = {amount_or_zero(item, "cpus"), amount_or_zero(item, "gpus"), 0};
+    team.limit = {wire::amount_field(item, "cpus_max"), amount_or_zero(item, "gpus_max"), 0};
+    settings.teams.push_back(std::move(team));
+  }
+  if (params.contains("objectives"))
+    for (const auto& item : list(params, "objectives")) {
+      // Only what says in which time a class's jobs should be done; the tightest counts.
+      if (item.value("kind", "") != "finished" || wire::absent(item, "class")) continue;
+      const auto within = wire::amount_field(item, "within_s");
+      auto [entry, added] = settings.within_s.try_emplace(wire::text_field(item, "class"), within);
+      if (!added) entry->second = std::min(entry->second, within);
+    }
+  const auto& workers = section(params, "workers");
+  settings.report_s = positive(workers, "report_s");
+  settings.lease_s = positive(workers, "lease_s");
+  settings.cancel_s = positive(workers, "cancel_s");
+  // The leader's lease lives in this margin (docs/SAFETY.md, invariant 2).
+  if (settings.cancel_s <= settings.lease_s)
+    throw BadSettings("settings: field 'cancel_s' must be above 'lease_s'");
+  const auto& state = section(params, "state");
+  settings.state_rps = positive(state, "rps");
+  settings.state_write_rps = positive(state, "write_rps");
+  settings.state_value_kb = positive(state, "value_kb");
+  settings.state_txn_ops = static_cast<std::size_t>(positive(state, "txn_ops"));
+  const auto& cloud = section(params, "cloud");
+  settings.cloud_rps = positive(cloud, "rps");
+  settings.list_lag_s = wire::amount_field(cloud, "list_lag_s");
+  return settings;
+}
+
+}  // namespace
+
+Settings parse_settings(const std::string& json_text) {
+  try {
+    return parse(wire::parse_object(json_text));
+  } catch (const wire::Malformed& error) {
+    throw BadSettings(std::string("settings: ") + error.what());
+  } catch (const Json::exception& error) {
+    throw BadSettings(std::string("settings: ") + error.what());
+  }
+}
+
+OperatorSettings parse_operator_settings(const std::string& yaml_text) {
+  OperatorSettings own;
+  struct Key {
+    const char* name;
+    double low;
+    double high;
+    std::function<void(double)> set;
+  };
+  const std::vector<Key> keys = {
+      {"alpha", 0, 1, [&](double value) { own.alpha = value; }},
+      {"phi", 0, 1, [&](double value) { own.phi = value; }},
+      {"round_reports", 1, 1000, [&](double value) { own.round_reports = value; }},
+      {"idle_reports", 1, 10000, [&](double value) { own.idle_reports = value; }},
+      {"final_states_kept", 100, 1e7,
+       [&](double value) { own.final_states_kept = static_cast<std::size_t>(value); }},
+  };
+  try {
+    const YAML::Node root = YAML::Load(yaml_text);
+    if (root.IsNull()) return own;
+    if (!root.IsMap()) throw BadSettings("operator settings: not a map");
+    for (const auto& entry : root) {
+      const auto name = entry.first.as<std::string>();
+      const auto key = std::find_if(keys.begin(), keys.end(), [&](const Key& item) { return name == item.name; });
+      if (key == keys.end()) throw BadSettings("operator settings: unknown key '" + name + "'");
+      const auto value = entry.second.as<double>();
+      if (!std::isfinite(value) || value < key->low || value > key->high)
+        throw BadSettings("operator settings: '" + name + "' is out of range");
+      key->set(value);
+    }
+  } catch (const YAML::Exception& error) {
+    throw BadSettings(std::string("operator settings: ") + error.what());
+  }
+  return own;
+}
+
+std::string read_file(const std::string& path) {
+  std::ifstream file(path, std::ios::binary);
+  if (!file) throw BadSettings("cannot read " + path);
+  return {std::istreambuf_iterator<char>(file), {}};
+}
+
+}  // namespace bankhill::app
--- /dev/null
+++ b/src/app/settings.hpp
@@ -0,0 +1,64 @@
+// Settings: the platform's JSON file and the operators' own YAML file.
+#pragma once
+
+#include <map>
+#include <stdexcept>
+#include <string>
+#include <vector>
+
+#include "wire/messages.hpp"
+
+namespace bankhill::app {
+
+// A missing or invalid field; what() names it.
+struct BadSettings : std::runtime_error {
+  using std::runtime_error::runtime_error;
+};
+
+struct TeamSettings {
+  std::string name;
+  wire::Amounts guarantee;
+  wire::Amounts limit;
+};
+
+struct SiblingSettings {
+  std::string host_name;
+  std::string addr;
+};
+
+// What operators may set themselves; every value has a default.
+struct OperatorSettings {
+  double alpha = 0.8;             // part of the budget for spot machines
+  double phi = 0.1;               // reclaim share above which a spot type is avoided
+  double round_reports = 5;       // planning round, in report intervals
+  double idle_reports = 20;       // idle time before a machine is returned, in report intervals
+  std::size_t final_states_kept = 20000;
+};
+
+struct Settings {
+  std::string host_name;
+  std::string zone;
+  std::string api_addr;
+  std::string peer_listen;
+  std::vector<SiblingSettings> siblings;
+  std::string cloud;
+  std::string state;
+  std::vector<TeamSettings> teams;
+  std::map<std::string, double> within_s;  // class -> time in which its jobs should be done
+  double report_s = 0;
+  double lease_s = 0;
+  double cancel_s = 0;
+  double state_rps = 0;
+  double state_write_rps = 0;
+  double state_value_kb = 0;
+  std::size_t state_txn_ops = 0;
+  double cloud_rps = 0;
+  double list_lag_s = 0;
+  OperatorSettings own;
+};
+
+Settings parse_settings(const std::string& json_text);
+OperatorSettings parse_operator_settings(const std::string& yaml_text);
+std::string read_file(const std::string& path);
+
+}  // namespace bankhill::app
--- /dev/null
+++ b/src/election/elector.cpp
@@ -0,0 +1,142 @@
+#include "election/elector.hpp"
+
+#include <utility>
+
+namespace bankhill::election {
+
+using state::Outcome;
+using wire::Json;
+
+Timing timing_from(double lease_s, double cancel_s) {
+  Timing timing;
+  timing.ttl_s = (cancel_s - lease_s) / 10;
+  timing.renew_s = timing.ttl_s / 5;
+  return timing;
+}
+
+Elector::Elector(runtime::Loop& loop, state::Store& store, runtime::Log log, std::string node,
+                 std::uint64_t incarnation, Timing timing, std::function<void(Validity)> on_validity)
+    : Actor(loop), store_(store), log_(std::move(log)), node_(std::move(node)), incarnation_(incarnation),
+      timing_(timing), on_validity_(std::move(on_validity)) {}
+
+void Elector::start() { consider(); }
+
+std::optional<wire::LeaderRecord> Elector::leader() const {
+  const auto* entry = view_.find(wire::kLeaderKey);
+  if (entry == nullptr) return std::nullopt;
+  return wire::parse_leader_record(entry->data);
+}
+
+bool Elector::leading() const {
+  const auto record = leader();
+  return hold_ != 0 && record && record->incarnation == incarnation_ && record->hold == hold_;
+}
+
+Json Elector::next_term() const {
+  const auto* entry = view_.find(wire::kTermKey);
+  const std::uint64_t term = entry == nullptr ? 0 : wire::count_field(entry->data, "n");
+  return Json{{"n", term + 1}};
+}
+
+void Elector::on(Changed& message) {
+  const bool led = leading();
+  for (const auto& change : *message.changes)
+    if (change.key == wire::kTermKey || change.key == wire::kLeaderKey) view_.apply(change);
+  if (led && !leading()) lost();
+  consider();
+}
+
+void Elector::lost() {
+  log_->warn("election: lost the leadership");
+  hold_ = 0;
+  renew_timer_.reset();
+  on_validity_({});
+}
+
+// Looks at who leads and campaigns when nobody does; runs again by itself.
+void Elector::consider() {
+  retry_ = loop().after(timing_.renew_s * loop().uniform(0.8, 1.2), [this] { consider(); });
+  if (!store_.synced() || campaigning_ || hold_ != 0) return;
+  const auto record = leader();
+  if (!record) return campaign();
+  // Our earlier incarnation has ended, or this one would not run: its lease need not run out by itself.
+  if (record->node == node_ && record->incarnation != incarnation_) {
+    log_->info("election: ending the lease of our earlier incarnation");
+    store_.tell(state::EndLease{record->hold});
+  }
+}
+
+void Elector::campaign() {
+  campaigning_ = true;
+  // What is known may be old: look again before asking for a lease.
+  store_.tell(state::Sync{guard([this](bool fine) {
+                            // The changes published by the barrier are in the mailbox before this runs on.
+                            loop().post(guard([this, fine] {
+                              if (!fine || leader()) {
+                                campaigning_ = false;
+                                return;
+                              }
+                              const double sent = loop().now();
+                              store_.tell(state::OpenLease{
+                                  timing_.ttl_s, guard([this, sent](std::optional<std::uint64_t> hold) {
+                                    campaigning_ = false;
+                                    if (!hold || leader()) return;
+                                    hold_ = *hold;
+                                    on_validity_({hold_, sent + timing_.ttl_s * (1 - timing_.drift)});
+                                    take(*hold);
+                                    renew_timer_ = loop().after(timing_.renew_s, [this] { renew(); });
+                                  })});
+                            }));
+                          }),
+                          true});
+}
+
+void Elector::take(std::uint64_t hold) {
+  state::Transaction transaction;
+  transaction.when = {{wire::kTermKey, view_.stamp(wire::kTermKey)}, {wire::kLeaderKey, wire::Stamp{0}}};
+  transaction.writes = {
+      {wire::kTermKey, next_term(), std::nullopt},
+      {wire::kLeaderKey, to_json(wire::LeaderRecord{node_, incarnation_, hold}), hold}};
+  store_.tell(state::Commit{std::move(transaction), guard([this, hold](state::CommitResult result) {
+                              if (hold_ != hold) return;
+                              if (result.outcome == Outcome::conflict || result.outcome == Outcome::refused) {
+                                log_->debug("election: another controller was first");
+                                store_.tell(state::EndLease{hold});
+                                hold_ = 0;
+                                renew_timer_.reset();
+                              }
+                              // Whether an unanswered transaction was applied shows in the watch.
+                              store_.tell(state::Sync{[](bool) {}, true});
+                            })});
+}
+
+void Elector::renew() {
+  const auto hold = hold_;
+  if (hold == 0) return;
+  renew_timer_ = loop().after(timing_.renew_s, [this] { renew(); });
+  const double sent = loop().now();
+  store_.tell(state::TouchLease{hold, timing_.ttl_s / 2, guard([this, hold, sent](std::optional<bool> renewed) {
+                                  if (hold_ != hold || !renewed) return;
+                                  if (!*renewed) return lost();
+                                  on_validity_({hold, sent + timing_.ttl_s * (1 - timing_.drift)});
+                                })});
+  // A lease that took no key is of no use: another controller leads, or the transaction never arrived.
+  const auto record = leader();
+  if (record && record->hold != hold) lost();
+}
+
+void Elector::on(RaiseTerm&) {
+  if (!leading() || raising_) return;
+  raising_ = true;
+  state::Transaction transaction;
+  transaction.when = {{wire::kTermKey, view_.stamp(wire::kTermKey)},
+                      {wire::kLeaderKey, view_.stamp(wire::kLeaderKey)}};
+  transaction.writes = {{wire::kTermKey, next_term(), std::nullopt},
+                        {wire::kLeaderKey, to_json(wire::LeaderRecord{node_, incarnation_, hold_}), hold_}};
+  store_.tell(state::Commit{std::move(transaction), guard([this](state::CommitResult) {
+                              raising_ = false;
+                              store_.tell(state::Sync{[](bool) {}, true});
+                            })});
+}
+
+}  // namespace bankhill::election
--- /dev/null
+++ b/src/election/elector.hpp
@@ -0,0 +1,72 @@
+// Leadership: a persistent term counter and a leader key on a lease, raised and taken in one transaction.
+// The term is the fence that workers see.
+#pragma once
+
+#include <functional>
+#include <optional>
+#include <string>
+
+#include "runtime/actor.hpp"
+#include "runtime/log.hpp"
+#include "state/store.hpp"
+#include "wire/records.hpp"
+
+namespace bankhill::election {
+
+struct Timing {
+  double ttl_s = 0;     // of the leader's lease
+  double renew_s = 0;   // between renewals
+  double drift = 0.001; // steady clocks may differ by half of this, each way
+};
+
+// The time-to-live is a small part of what a cancellation leaves beyond a worker's lease, so that
+// ttl + lease_s stays well within cancel_s.
+Timing timing_from(double lease_s, double cancel_s);
+
+// Until when this controller may act as the holder of `hold`, on its own steady clock.
+struct Validity {
+  std::uint64_t hold = 0;
+  double until = 0;
+};
+
+// Messages.
+struct Changed {
+  state::Changes changes;
+};
+struct RaiseTerm {};  // makes direct commands of the current term void
+
+class Elector : public runtime::Actor<Elector, Changed, RaiseTerm> {
+ public:
+  Elector(runtime::Loop& loop, state::Store& store, runtime::Log log, std::string node,
+          std::uint64_t incarnation, Timing timing, std::function<void(Validity)> on_validity);
+  void start();
+
+  void on(Changed& message);
+  void on(RaiseTerm& message);
+
+ private:
+  void consider();
+  void campaign();
+  void take(std::uint64_t hold);
+  void renew();
+  void lost();
+  bool leading() const;
+  std::optional<wire::LeaderRecord> leader() const;
+  wire::Json next_term() const;
+
+  state::Store& store_;
+  runtime::Log log_;
+  std::string node_;
+  std::uint64_t incarnation_;
+  Timing timing_;
+  std::function<void(Validity)> on_validity_;
+  state::View view_;
+  std::uint64_t hold_ = 0;  // 0: no lease
+  bool synced_ = false;
+  bool campaigning_ = false;
+  bool raising_ = false;
+  runtime::Timer retry_;
+  runtime::Timer renew_timer_;
+};
+
+}  // namespace bankhill::election
--- /dev/null
+++ b/src/gateway/gateway.hpp
@@ -0,0 +1,86 @@
+// The users' API. Any controller commits submissions and cancellations itself, so that a change of leader
+// does not stop them.
+#pragma once
+
+#include <deque>
+#include <functional>
+#include <map>
+#include <memory>
+#include <optional>
+#include <string>
+#include <vector>
+
+#include "gateway/admission.hpp"
+#include "net/http.hpp"
+#include "net/relay.hpp"
+#include "runtime/actor.hpp"
+#include "runtime/log.hpp"
+#include "state/store.hpp"
+#include "wire/records.hpp"
+
+namespace bankhill::gateway {
+
+// Messages.
+struct Changed {
+  state::Changes changes;
+};
+struct UserCall {
+  net::Request request;
+  net::Reply reply;
+  bool relayed = false;
+};
+struct Progressed {
+  wire::Progress progress;
+};
+
+class Gateway : public runtime::Actor<Gateway, Changed, UserCall, Progressed> {
+ public:
+  Gateway(runtime::Loop& loop, runtime::Log log, state::Store& store, net::Relay& relay,
+          std::vector<TeamLimit> teams, std::size_t final_states_kept);
+
+  void on(Changed& message);
+  void on(UserCall& message);
+  void on(Progressed& message);
+
+  bool healthy() const;
+  bool state_ok() const;
+
+ private:
+  struct Known {
+    wire::JobPhase phase = wire::JobPhase::accepted;
+    wire::Stamp stamp;
+    std::uint32_t members = 0;
+    std::optional<wire::JobRecord> record;  // of live jobs
+    wire::Progress progress;
+  };
+  struct Call {  // one request under way
+    net::Request request;
+    net::Reply reply;
+    bool relayed = false;
+    int tries = 0;
+  };
+  using CallPtr = std::shared_ptr<Call>;
+
+  void learn(const wire::JobId& id, const state::Entry& entry);
+  // Hands over what is known of the job, at least as new as this call. False: cannot tell.
+  void look_up(const wire::JobId& id, std::function<void(bool, const Known*)> done);
+  void submit(const CallPtr& call);
+  void accept(const CallPtr& call, const wire::JobSpec& spec);
+  void answer_known(const CallPtr& call, const wire::JobId& id);
+  void status(const CallPtr& call, const wire::JobId& id);
+  void withdraw(const CallPtr& call, const wire::JobId& id);
+  void unable(const CallPtr& call);
+  net::Response describe(const wire::JobId& id, const Known& known) const;
+
+  runtime::Log log_;
+  state::Store& store_;
+  net::Relay& relay_;
+  std::vector<TeamLimit> teams_;
+  std::size_t final_states_kept_;
+  std::vector<wire::Flavor> flavors_;
+  std::map<wire::JobId, Known> jobs_;
+  std::deque<wire::JobId> final_order_;
+  bool forgot_some_ = false;
+};
+
+}  // namespace bankhill::gateway
--- /dev/null
+++ b/src/leader/fleet.cpp
@@ -0,0 +1,414 @@
+// Rentals and releases: rounds (the paper's Algorithm 3), silent machines, the cloud's list.
+#include <algorithm>
+#include <cmath>
+#include <utility>
+
+#include "leader/leader.hpp"
+
+namespace bankhill::leader {
+
+using model::Machine;
+
+namespace {
+// Ratios to the report interval.
+constexpr double kProbeAfter = 1.7;     // silence after which a machine is asked directly
+constexpr double kSilentAfter = 4;      // silence after which it is given up
+constexpr double kMassShare = 0.4;      // more machines silent than this: it is our network, not theirs
+constexpr double kPlanGap = 0.3;        // between two plans made on events
+// Ratios to a type's usual boot time.
+constexpr double kBootLate = 2;         // no longer counted as coming
+constexpr double kBootNever = 5;        // given up
+constexpr double kStockoutPause = 0.5;  // in rounds, doubled up to the next
+constexpr double kStockoutMost = 4;
+constexpr double kDriftAllowance = 1.002;
+constexpr double kAllowanceS = 1;
+constexpr double kGoneKeptS = 3600;
+constexpr double kMinReclaimHistory = 600;  // machine seconds below which the reclaim share is unknown
+}  // namespace
+
+void Leader::plan_soon() {
+  if (plan_scheduled_) return;
+  plan_scheduled_ = true;
+  const double wait = std::max(0.0, last_plan_ + kPlanGap * settings_.report_s - loop().now());
+  plan_timer_ = loop().after(wait, guard([this] {
+                               plan_scheduled_ = false;
+                               plan_fleet();
+                             }));
+}
+
+bool Leader::reclaim_share_allows(const std::string& flavor) const {
+  const auto found = reclaims_.find(flavor);
+  if (found == reclaims_.end() || found->second.machine_s < kMinReclaimHistory) return true;
+  double task_seconds = 0;
+  double tasks = 0;
+  for (const auto& [id, job] : jobs_)
+    if (job.live() && !job.service()) {
+      task_seconds += task_s(job) * job.spec.members;
+      tasks += job.spec.members;
+    }
+  if (tasks == 0) return true;
+  // The share of tasks that a reclaim would hit stands in for the paper's out-of-bid probability.
+  return found->second.count / found->second.machine_s * (task_seconds / tasks) < settings_.phi;
+}
+
+std::vector<planner::Work> Leader::current_work(bool& waiting) {
+  std::vector<planner::Work> work;
+  std::map<std::string, double> cores;
+  for (const auto& [id, job] : jobs_) {
+    if (!job.live() || loop().now() < job.blocked_until) continue;
+    planner::Work item;
+    item.need = job.spec.need;
+    item.tasks = job.ready + job.bound;
+    item.task_s = std::max(1.0, task_s(job));
+    item.window_s = std::max(item.task_s, std::min(due_in(job), 3600.0));
+    // Waiting for a machine to boot leaves no time beyond the run itself.
+    item.window_s = item.task_s;
+    item.service = job.service();
+    item.reclaimable = job.spec.reclaimable;
+    item.flavors = job.spec.flavors;
+    item.rack_room = job.spec.rack_room;
+    if (const auto* owner = team(job.spec.owner)) {
+      // Tasks beyond the team's limit cannot run at the same time.
+      auto& used = cores[job.spec.owner];
+      item.tasks = std::min(item.tasks, std::max(0.0, std::floor((owner->limit.cores - used) / item.need.cores)));
+      used += item.tasks * item.need.cores;
+    }
+    if (job.ready > 0) waiting = true;
+    if (item.tasks > 0) work.push_back(std::move(item));
+  }
+  return work;
+}
+
+void Leader::plan_fleet() {
+  if (!valid() || flavors_.empty()) return;
+  last_plan_ = loop().now();
+  std::vector<planner::Offer> offers;
+  for (const auto& flavor : flavors_) offers.push_back({flavor, reclaim_share_allows(flavor.name)});
+  bool waiting = false;
+  const auto work = current_work(waiting);
+  const auto plan = planner::plan(work, offers, settings_.alpha);
+  top_up(plan, offers, waiting);
+  return_idle();
+}
+
+void Leader::top_up(const planner::Plan& plan, const std::vector<planner::Offer>& offers, bool waiting) {
+  // What is wanted and what is there, in cores of each kind: a machine of another type does as well.
+  double wanted[2] = {0, 0};
+  for (std::size_t i = 0; i < offers.size(); ++i) {
+    wanted[0] += plan.steady[i] * offers[i].flavor.size.cores;
+    wanted[1] += plan.spot[i] * offers[i].flavor.size.cores;
+  }
+  double there[2] = {0, 0};
+  const double now = loop().now();
+  for (const auto& [host, machine] : machines_) {
+    if (machine.draining || machine.releasing) continue;
+    double boot = 0;
+    for (const auto& offer : offers)
+      if (offer.flavor.name == machine.flavor) boot = offer.flavor.boot_s;
+    if (!machine.up && now - machine.first_seen > kBootLate * boot) continue;
+    there[machine.reclaimable ? 1 : 0] += machine.size.cores;
+  }
+  for (const auto& [name, rental] : rentals_)
+    if (!rental.record.hosts)
+      for (const auto& offer : offers)
+        if (offer.flavor.name == rental.record.flavor)
+          there[rental.record.reclaimable ? 1 : 0] += offer.flavor.size.cores * rental.record.count;
+  double missing[2] = {wanted[0] - there[0], wanted[1] - there[1]};
+  // Cheapest per core first; what a type cannot give is asked of the next.
+  std::vector<std::size_t> order(offers.size());
+  for (std::size_t i = 0; i < order.size(); ++i) order[i] = i;
+  std::sort(order.begin(), order.end(), [&](std::size_t a, std::size_t b) {
+    return offers[a].flavor.rate / offers[a].flavor.size.cores < offers[b].flavor.rate / offers[b].flavor.size.cores;
+  });
+  for (const bool spot : {true, false}) {
+    double& lack = missing[spot ? 1 : 0];
+    for (const bool small_too : {false, true}) {
+      for (const auto i : order) {
+        const auto& offer = offers[i];
+        if (lack <= 0 || (spot && !offer.spot_allowed)) continue;
+        // A machine much larger than what is missing would stand idle for the most part.
+        const double count = small_too ? std::ceil(lack / offer.flavor.size.cores - 0.5)
+                                       : std::floor(lack / offer.flavor.size.cores);
+        if (count >= 1) lack -= rent(offer, spot, count) * offer.flavor.size.cores;
+      }
+    }
+    // Exception to the design (its first doubt): alpha's budget that no spot type can take must not stay
+    // unspent while work waits.
+    if (spot && lack > 0 && waiting) missing[0] += lack;
+  }
+  // Ready work that no machine can take earns its type at least one machine.
+  std::vector<bool> earned(offers.size(), false);
+  for (const auto& [id, job] : jobs_) {
+    if (!may_start(job) || !team_has_room(job)) continue;
+    const bool coming = std::any_of(machines_.begin(), machines_.end(), [&](const auto& entry) {
+      const auto& machine = entry.second;
+      return !machine.draining && !machine.releasing && planner::allows(job.spec.flavors, machine.flavor) &&
+             (job.spec.reclaimable || !machine.reclaimable) &&
+             (!job.spec.rack_room || *job.spec.rack_room == machine.rack_room) &&
+             job.spec.need.fits(machine.up ? machine.room() : machine.size);
+    });
+    if (coming || missing[0] > 0 || missing[1] > 0) continue;
+    planner::Work item;
+    item.need = job.spec.need;
+    item.flavors = job.spec.flavors;
+    item.rack_room = job.spec.rack_room;
+    const auto type = planner::preferred(item, offers);
+    if (!type || earned[*type]) continue;
+    earned[*type] = true;
+    if (std::any_of(rentals_.begin(), rentals_.end(), [](const auto& entry) { return !entry.second.record.hosts; }))
+      continue;
+    // Smallest type that holds it, since one task is all that is known to need it.
+    std::size_t smallest = *type;
+    for (std::size_t i = 0; i < offers.size(); ++i)
+      if (planner::slots(item.need, offers[i].flavor.size) >= 1 &&
+          planner::allows(item.flavors, offers[i].flavor.name) &&
+          offers[i].flavor.rate < offers[smallest].flavor.rate)
+        smallest = i;
+    rent(offers[smallest], false, 1);
+  }
+}
+
+double Leader::rent(const planner::Offer& offer, bool reclaimable, double count) {
+  const double now = loop().now();
+  std::vector<std::string> zones;
+  for (const auto& zone : offer.flavor.rack_rooms) {
+    const auto out = stockouts_.find({offer.flavor.name, zone, reclaimable});
+    if (out == stockouts_.end() || now >= out->second.until) zones.push_back(zone);
+  }
+  if (zones.empty()) return 0;
+  // Evenly over the zones, beginning with the one that has the fewest.
+  std::map<std::string, double> have;
+  for (const auto& [host, machine] : machines_) have[machine.rack_room] += machine.size.cores;
+  std::sort(zones.begin(), zones.end(),
+            [&](const std::string& a, const std::string& b) { return have[a] < have[b]; });
+  double asked = 0;
+  for (std::size_t i = 0; i < zones.size(); ++i) {
+    const double share = std::ceil((count - asked) / static_cast<double>(zones.size() - i));
+    if (share < 1) break;
+    const std::string name = "r-" + std::to_string(first_term_) + "-" + std::to_string(++rentals_made_);
+    auto& rental = rentals_[name];
+    rental.record = {offer.flavor.name, zones[i], reclaimable,
+                     static_cast<std::uint32_t>(std::min<double>(share, cloud::kMaxRental)), loop().wall(),
+                     std::nullopt};
+    asked += rental.record.count;
+    log_->info("rental {}: {} x {} in {}{}", name, rental.record.count, offer.flavor.name, zones[i],
+               reclaimable ? ", spot" : "");
+    rental.asking = true;
+    // Invariant 3: stored before it is requested.
+    store(wire::rental_key(name), to_json(rental.record), [this, name] { ask(name); });
+  }
+  return asked;
+}
+
+void Leader::ask(const std::string& name) {
+  const auto found = rentals_.find(name);
+  if (found == rentals_.end() || !valid()) {
+    if (found != rentals_.end()) found->second.asking = false;
+    return;
+  }
+  found->second.asking = true;
+  ports_.cloud.tell(cloud::Rent{name, found->second.record,
+                                guard([this, name, reign = first_term_](const cloud::Rented& result) {
+                                  if (reigning_ && reign == first_term_) rented(name, result);
+                                })});
+}
+
+void Leader::rented(const std::string& name, const cloud::Rented& result) {
+  const auto found = rentals_.find(name);
+  if (found == rentals_.end()) return;
+  auto& rental = found->second;
+  rental.asking = false;
+  rental.retry_at = loop().now() + settings_.report_s / 2;
+  if (result.kind == cloud::Rented::Kind::trouble) return;
+  const Pool pool{rental.record.flavor, rental.record.rack_room, rental.record.reclaimable};
+  if (result.kind == cloud::Rented::Kind::no_capacity || result.hosts.size() < rental.record.count) {
+    auto& out = stockouts_[pool];
+    out.pause = std::min(std::max(kStockoutPause, out.pause * 2), kStockoutMost);
+    out.until = loop().now() + out.pause * settings_.round_s;
+    log_->info("rental {}: {} of {} to be had", name, result.hosts.size(), rental.record.count);
+    plan_soon();
+  } else {
+    stockouts_.erase(pool);
+  }
+  if (result.hosts.empty()) {
+    rentals_.erase(found);
+    store(wire::rental_key(name), std::nullopt);
+    return;
+  }
+  rental.record.hosts.emplace();
+  for (const auto& host : result.hosts) rental.record.hosts->push_back(host.value);
+  store(wire::rental_key(name), to_json(rental.record));
+  settle_rentals();
+}
+
+void Leader::settle_rentals() {
+  const double now = loop().now();
+  std::vector<std::string> over;
+  for (auto& [name, rental] : rentals_) {
+    if (!rental.record.hosts) {
+      // A new leader repeats open rentals to learn their hosts.
+      if (!rental.asking && now >= rental.retry_at && valid()) ask(name);
+      continue;
+    }
+    bool pending = false;
+    for (const auto& text : *rental.record.hosts) {
+      const wire::HostId host{text};
+      if (gone_.contains(host)) continue;
+      auto [entry, added] = machines_.try_emplace(host);
+      auto& machine = entry->second;
+      if (added) {
+        machine.host = host;
+        machine.flavor = rental.record.flavor;
+        machine.rack_room = rental.record.rack_room;
+        machine.reclaimable = rental.record.reclaimable;
+        machine.first_seen = now;
+        for (const auto& flavor : flavors_)
+          if (flavor.name == machine.flavor) machine.size = flavor.size;
+      }
+      if (!machine.recorded) pending = true;
+    }
+    if (!pending) over.push_back(name);
+  }
+  for (const auto& name : over) {
+    rentals_.erase(name);
+    store(wire::rental_key(name), std::nullopt);
+  }
+}
+
+void Leader::watch_machines() {
+  const double now = loop().now();
+  const double probe = kProbeAfter * settings_.report_s;
+  const double silent = kSilentAfter * settings_.report_s;
+  std::size_t up = 0;
+  std::vector<Machine*> quiet;
+  bool doubtful = false;
+  for (auto& [host, machine] : machines_) {
+    if (!machine.up) {
+      double boot = 60;
+      for (const auto& flavor : flavors_)
+        if (flavor.name == machine.flavor) boot = flavor.boot_s;
+      if (now - machine.first_seen > kBootNever * boot) release(machine, "it never came up");
+      continue;
+    }
+    ++up;
+    const double silence = now - machine.last_contact;
+    if (silence > probe && now - machine.last_probe > probe / 2) send_direct(machine, {});
+    if (silence > silent) quiet.push_back(&machine);
+    // Invariant 5: no earlier leader answered after this reign began, so the lease has run out by now.
+    const double last_renewal = std::max(machine.last_answered, reign_since_);
+    if (now > last_renewal + settings_.lease_s * kDriftAllowance + kAllowanceS) {
+      if (!machine.confirmed) {
+        log_->info("machine {}: unconfirmed and its lease has run out", host.value);
+        machine.confirmed = true;
+        machine.draining = true;
+        machine.drain_reason = "its lease ran out unheard";
+      }
+      if (!machine.binds.empty()) {
+        const wire::Tenure next{machine.tenure.value + 1};
+        new_tenure(machine, next);
+        machine.tenure = next;
+        machine.counter = 0;
+      }
+    }
+    const bool heard_since = machine.last_contact > machine.doubt_at;
+    for (const auto& [member, bind] : machine.binds)
+      doubtful = doubtful || (heard_since && bind.stopping && bind.doubt.value == term_);
+    for (const auto& [member, leftover] : machine.leftovers)
+      doubtful = doubtful || (heard_since && leftover.doubt.value == term_);
+    if (machine.draining && machine.binds.empty() && machine.confirmed) release(machine, machine.drain_reason);
+    if (machine.warned_until && now > *machine.warned_until) release(machine, "its notice has run out");
+  }
+  // Many at once: rather our own network; releasing them would end work that goes on.
+  const bool mass = quiet.size() >= 2 && static_cast<double>(quiet.size()) > kMassShare * static_cast<double>(up);
+  for (auto* machine : quiet) {
+    if (mass && now - machine->last_contact < settings_.lease_s) continue;
+    if (!machine->warned_until && machine->reclaimable && !machine->releasing)
+      reclaims_[machine->flavor].count += 1;
+    release(*machine, "it is silent");
+  }
+  // A direct start in doubt is made void by a new term (invariant 6).
+  if (doubtful && !raising_ && now - raised_at_ > 2 * settings_.report_s) {
+    raised_at_ = now;
+    raising_ = true;
+    ports_.raise_term();
+  } else if (raising_ && now - raised_at_ > 2 * settings_.report_s) {
+    raising_ = false;
+  }
+}
+
+void Leader::release(Machine& machine, const std::string& reason) {
+  if (std::exchange(machine.releasing, true)) return;
+  log_->info("machine {}: releasing it, {} ({} tasks bound)", machine.host.value, reason, machine.binds.size());
+  loop().post(guard([this] { send_releases(); }));
+}
+
+void Leader::send_releases() {
+  if (releasing_ || !valid()) return;
+  std::vector<wire::HostId> hosts;
+  for (const auto& [host, machine] : machines_)
+    if (machine.releasing && hosts.size() < cloud::kMaxRelease) hosts.push_back(host);
+  if (hosts.empty()) return;
+  releasing_ = true;
+  ports_.cloud.tell(cloud::Release{hosts, guard([this, hosts, reign = first_term_](bool done) {
+                                     if (!reigning_ || reign != first_term_) return;
+                                     releasing_ = false;
+                                     if (!done) return;  // the tick tries again
+                                     for (const auto& host : hosts) gone(host);
+                                   })});
+}
+
+void Leader::gone(const wire::HostId& host) {
+  const double now = loop().now();
+  std::erase_if(gone_, [&](const auto& entry) { return now - entry.second > kGoneKeptS; });
+  gone_[host] = now;
+  const auto found = machines_.find(host);
+  if (found == machines_.end()) return;
+  auto& machine = found->second;
+  std::vector<wire::MemberId> members;
+  for (const auto& [member, bind] : machine.binds) members.push_back(member);
+  for (const auto& member : members) unbind(machine, member);
+  if (machine.recorded || machine.recording) store(wire::machine_key(host), std::nullopt);
+  machines_.erase(found);
+  place_soon();
+  plan_soon();
+}
+
+void Leader::list_hosts() {
+  next_list_ = loop().now() + std::max(settings_.list_lag_s, settings_.report_s);
+  if (std::exchange(listing_, true)) return;
+  ports_.cloud.tell(cloud::ListHosts{
+      guard([this, reign = first_term_](std::optional<std::vector<wire::ListedHost>> hosts) {
+        if (!reigning_ || reign != first_term_) return;
+        listing_ = false;
+        if (!hosts || !valid()) return;
+        const double now = loop().now();
+        for (const auto& listed : *hosts) {
+          if (gone_.contains(listed.uid)) continue;
+          auto [entry, added] = machines_.try_emplace(listed.uid);
+          auto& machine = entry->second;
+          if (added) {
+            // Rented by a request that came late, or at the start: used or returned like any other.
+            log_->info("machine {}: listed but unexpected, adding it", listed.uid.value);
+            machine.host = listed.uid;
+            machine.flavor = listed.flavor;
+            machine.rack_room = listed.rack_room;
+            machine.reclaimable = listed.reclaimable;
+            machine.first_seen = now - listed.held_s;
+            for (const auto& flavor : flavors_)
+              if (flavor.name == machine.flavor) machine.size = flavor.size;
+          }
+          if (listed.phase == "failed") release(machine, "the cloud says it failed");
+        }
+      })});
+}
+
+void Leader::return_idle() {
+  const double now = loop().now();
+  for (auto& [host, machine] : machines_) {
+    if (!machine.takes_tasks() || !machine.binds.empty()) continue;
+    if (now - machine.idle_since < settings_.idle_s) continue;
+    release(machine, "it is idle");
+  }
+}
+
+}  // namespace bankhill::leader
--- /dev/null
+++ b/src/leader/reports.cpp
@@ -0,0 +1,410 @@
+// Reports of workers, and the orders that answer them.
+#include <algorithm>
+#include <utility>
+
+#include "leader/leader.hpp"
+
+namespace bankhill::leader {
+
+using model::Bind;
+using model::BindPhase;
+using model::Job;
+using model::Leftover;
+using model::Machine;
+using wire::ExitCause;
+using wire::MemberPhase;
+using wire::Order;
+using wire::Verb;
+
+namespace {
+// Failures before a machine or a job counts as the faulty one.
+constexpr std::uint32_t kMachineErrors = 3;
+constexpr std::size_t kMachineErrorJobs = 2;
+constexpr std::size_t kJobErrorMachines = 3;
+constexpr double kFirstBackoffReports = 2;  // in report intervals
+constexpr double kLastBackoffReports = 20;
+constexpr double kDirectReports = 1;
+constexpr std::size_t kMaxOrders = 400;  // keeps an answer below 64 KiB
+
+net::Response answer(std::uint64_t fence, const std::vector<Order>& orders) {
+  return {200, wire::Json{{"fence", fence}, {"orders", to_json(orders)}}.dump(), std::nullopt};
+}
+}  // namespace
+
+void Leader::on(Reported& message) {
+  if (!valid()) return message.reply({503, "{}", 1.0});
+  const auto& report = message.report;
+  // A machine that a release has ended speaks no more; this is an old message.
+  if (gone_.contains(report.host)) return message.reply(answer(term_, {}));
+  auto& machine = machine_for(report);
+  const bool news = apply(machine, report, false);
+  if (!news) return message.reply(answer(term_, {}));
+  machine.last_answered = loop().now();
+  message.reply(answer(term_, orders_for(machine, report.counter)));
+}
+
+Machine& Leader::machine_for(const wire::Report& report) {
+  auto [found, added] = machines_.try_emplace(report.host);
+  auto& machine = found->second;
+  if (added) {
+    log_->info("machine {}: unexpected, adding it", report.host.value);
+    machine.host = report.host;
+    machine.first_seen = loop().now();
+  }
+  if (!machine.up) {
+    machine.up = true;
+    machine.address = report.address;
+    machine.flavor = report.flavor;
+    machine.rack_room = report.rack_room;
+    machine.reclaimable = report.reclaimable;
+    machine.idle_since = loop().now();
+    for (const auto& flavor : flavors_)
+      if (flavor.name == machine.flavor) machine.size = flavor.size;
+    log_->info("machine {}: up ({} in {}{})", machine.host.value, machine.flavor, machine.rack_room,
+               machine.reclaimable ? ", spot" : "");
+  }
+  if (!machine.recorded) record(machine);
+  return machine;
+}
+
+void Leader::record(Machine& machine) {
+  if (std::exchange(machine.recording, true)) return;
+  // Invariant 4: it takes tasks only once this is committed.
+  store(wire::machine_key(machine.host),
+        to_json(wire::MachineRecord{machine.address, machine.flavor, machine.rack_room, machine.reclaimable}),
+        [this, host = machine.host] {
+          const auto found = machines_.find(host);
+          if (found == machines_.end()) return;
+          found->second.recorded = true;
+          place_soon();
+        });
+}
+
+bool Leader::apply(Machine& machine, const wire::Report& report, bool direct) {
+  // Invariant 11.
+  if (std::pair(report.tenure, report.counter) <= std::pair(machine.tenure, machine.counter)) return false;
+  const double now = loop().now();
+  if (report.tenure > machine.tenure && machine.tenure.value != 0) new_tenure(machine, report.tenure);
+  machine.tenure = report.tenure;
+  machine.counter = report.counter;
+  machine.seen = std::max(machine.seen, report.fence);
+  machine.last_contact = now;
+  if (!machine.confirmed && machine.seen.value >= first_term_) {
+    // From here on nothing that an earlier leader ordered can take effect (invariant 5).
+    machine.confirmed = true;
+    place_soon();
+  }
+  if (report.warning_s) warned(machine, *report.warning_s);
+  std::set<wire::MemberId> listed;
+  for (const auto& member : report.members) {
+    listed.insert(member.member);
+    apply_member(machine, member);
+  }
+  std::erase_if(machine.leftovers, [&](const auto& entry) { return !listed.contains(entry.first); });
+  // Invariant 6: a start that was to be taken back and never happened is over once no order for it can
+  // still be on its way.
+  std::vector<wire::MemberId> never_started;
+  for (const auto& [member, bind] : machine.binds) {
+    const bool direct_over =
+        bind.directs_pending == 0 && (bind.doubt.value == 0 || bind.doubt < machine.seen);
+    const bool answer_over = bind.answered_counter == 0 || (!direct && report.counter > bind.answered_counter);
+    if (bind.stopping && bind.phase == BindPhase::sent && !listed.contains(member) && direct_over && answer_over)
+      never_started.push_back(member);
+  }
+  for (const auto& member : never_started) unbind(machine, member);
+  return true;
+}
+
+void Leader::new_tenure(Machine& machine, wire::Tenure tenure) {
+  log_->warn("machine {}: lease ran out, {} tasks are gone", machine.host.value, machine.binds.size());
+  std::vector<wire::MemberId> members;
+  for (const auto& [member, bind] : machine.binds)
+    if (bind.tenure < tenure) members.push_back(member);
+  for (const auto& member : members) unbind(machine, member);
+  machine.leftovers.clear();
+}
+
+void Leader::apply_member(Machine& machine, const wire::MemberReport& member) {
+  const auto found = machine.binds.find(member.member);
+  if (found == machine.binds.end()) return adopt(machine, member);
+  auto& bind = found->second;
+  if (bind.try_no != member.try_no) {
+    // An attempt of before; ours answers for itself.
+    if (member.phase == MemberPhase::exited) return;
+    log_->warn("machine {}: {} runs as attempt {}, not {}", machine.host.value, member.member.text(),
+               member.try_no.value, bind.try_no.value);
+    bind.try_no = member.try_no;
+  }
+  const auto job = jobs_.find(member.member.job);
+  const bool was_running = bind.phase == BindPhase::running;
+  switch (member.phase) {
+    case MemberPhase::pulling:
+      bind.phase = BindPhase::pulling;
+      break;
+    case MemberPhase::running:
+      if (!was_running) {
+        bind.running_since = loop().now();
+        if (job != jobs_.end()) machine.images.insert(job->second.spec.bundle);
+      }
+      bind.phase = BindPhase::running;
+      break;
+    case MemberPhase::flushing:
+      bind.phase = BindPhase::flushing;
+      bind.stopping = true;
+      break;
+    case MemberPhase::exited:
+      return exited(machine, member);
+  }
+  if (job != jobs_.end() && !bind.alien && job->second.live()) {
+    const bool runs = bind.phase == BindPhase::running;
+    if (runs != was_running) {
+      job->second.running += runs ? 1 : -1;
+      job->second.progress_dirty = true;
+    }
+  }
+}
+
+void Leader::adopt(Machine& machine, const wire::MemberReport& member) {
+  const auto job = jobs_.find(member.member.job);
+  const bool known = job != jobs_.end() && member.member.index < job->second.spec.members;
+  const bool live = known && job->second.live();
+  if (member.phase == MemberPhase::exited) {
+    auto [entry, added] = machine.leftovers.try_emplace(member.member);
+    if (!added && entry->second.try_no == member.try_no) return;
+    entry->second = Leftover{member.try_no, true, 0, {}};
+    if (live && member.cause == ExitCause::done && job->second.marks[member.member.index] != model::kDone) {
+      // Finished under an earlier leader, or just before its lease ran out.
+      const bool elsewhere = job->second.marks[member.member.index] == model::kBound;
+      if (elsewhere) return;  // the other attempt will exit with done by itself
+      entry->second.stored = false;
+      finish(job->second, member.member.index, [this, host = machine.host, id = member.member] {
+        const auto at = machines_.find(host);
+        if (at == machines_.end()) return;
+        if (const auto left = at->second.leftovers.find(id); left != at->second.leftovers.end())
+          left->second.stored = true;
+      });
+    }
+    return;
+  }
+  Bind bind;
+  bind.member = member.member;
+  bind.try_no = member.try_no;
+  bind.tenure = machine.tenure;
+  bind.since = loop().now();
+  bind.alien = !live || job->second.marks[member.member.index] != model::kReady;
+  bind.stopping = bind.alien;
+  if (known) {
+    bind.owner = job->second.spec.owner;
+    bind.need = job->second.spec.need;
+  } else {
+    bind.need = machine.size;  // unknown: the machine counts as full
+  }
+  machine.used += bind.need;
+  usage_[bind.owner].used += bind.need;
+  if (!bind.alien) job->second.set_mark(member.member.index, model::kBound);
+  if (bind.alien)
+    log_->warn("machine {}: {} has no business here, stopping it", machine.host.value, member.member.text());
+  machine.binds.emplace(member.member, std::move(bind));
+  apply_member(machine, member);
+}
+
+void Leader::unbind(Machine& machine, const wire::MemberId& member) {
+  const auto found = machine.binds.find(member);
+  if (found == machine.binds.end()) return;
+  const Bind bind = std::move(found->second);
+  machine.binds.erase(found);
+  machine.used -= bind.need;
+  if (machine.binds.empty()) {
+    machine.used = {};
+    machine.idle_since = loop().now();
+  }
+  usage_[bind.owner].used -= bind.need;
+  const auto job = jobs_.find(member.job);
+  if (job != jobs_.end() && job->second.live() && !bind.alien) {
+    if (bind.phase == BindPhase::running) --job->second.running;
+    if (job->second.marks[member.index] == model::kBound) job->second.set_mark(member.index, model::kReady);
+  }
+  place_soon();
+}
+
+void Leader::exited(Machine& machine, const wire::MemberReport& member) {
+  const auto found = machine.binds.find(member.member);
+  const Bind bind = found->second;
+  Leftover leftover{member.try_no, true, bind.directs_pending, bind.doubt};
+  unbind(machine, member.member);
+  const auto job = jobs_.find(member.member.job);
+  const bool live = job != jobs_.end() && job->second.live() && !bind.alien;
+  if (live && member.cause == ExitCause::done) {
+    machine.errors_in_row = 0;
+    machine.error_jobs.clear();
+    job->second.failures_in_row = 0;
+    job->second.failed_on.clear();
+    job->second.reason.clear();
+    leftover.stored = false;  // invariant 7
+    finish(job->second, member.member.index, [this, host = machine.host, id = member.member] {
+      const auto at = machines_.find(host);
+      if (at == machines_.end()) return;
+      if (const auto left = at->second.leftovers.find(id); left != at->second.leftovers.end())
+        left->second.stored = true;
+    });
+  } else if (live && member.cause != ExitCause::halted) {
+    log_->info("machine {}: {} exited with {}", machine.host.value, member.member.text(), name_of(member.cause));
+    failed(machine, job->second, member.cause);
+  }
+  machine.leftovers[member.member] = leftover;
+}
+
+void Leader::failed(Machine& machine, Job& job, ExitCause cause) {
+  job.reason = std::string("a task failed: ") + name_of(cause);
+  job.progress_dirty = true;
+  const double now = loop().now();
+  if (cause == ExitCause::error) {
+    ++machine.errors_in_row;
+    machine.error_jobs.insert(job.spec.uid);
+    job.failed_on.insert(machine.host);
+    if (machine.error_jobs.size() >= kMachineErrorJobs ||
+        (machine.errors_in_row >= kMachineErrors && job.failed_on.size() < kJobErrorMachines)) {
+      if (!machine.draining) {
+        machine.draining = true;
+        machine.drain_reason = "its tasks fail";
+        log_->warn("machine {}: tasks keep failing there, taking it out of use", machine.host.value);
+      }
+    }
+    if (job.failed_on.size() < kJobErrorMachines) return;
+  }
+  // Refused, or failing everywhere: not again at once.
+  ++job.failures_in_row;
+  const double pause = std::min(kLastBackoffReports, kFirstBackoffReports * job.failures_in_row) * settings_.report_s;
+  job.blocked_until = now + pause;
+  job.failed_on.clear();
+  log_->warn("job {}: its tasks fail on several machines, waiting {} s", job.spec.uid.value, pause);
+}
+
+void Leader::finish(Job& job, std::uint32_t index, std::function<void()> then) {
+  job.set_mark(index, model::kDone);
+  const auto chunks = (job.spec.members + wire::kFinishedChunk - 1) / wire::kFinishedChunk;
+  if (job.finished < job.spec.members) {
+    const auto chunk = index / wire::kFinishedChunk;
+    return store(wire::finished_key(job.spec.uid, chunk), wire::finished_hex(job.marks, chunk, model::kDone),
+                 std::move(then));
+  }
+  store(wire::job_key(job.spec.uid), to_json(wire::JobRecord{job.spec, wire::JobPhase::done, job.accepted_at}),
+        [this, id = job.spec.uid, chunks, then = std::move(then)] {
+          then();
+          for (std::uint32_t chunk = 0; chunk < chunks; ++chunk) {
+            const auto key = wire::finished_key(id, chunk);
+            if (view_.find(key) != nullptr || intents_.contains(key)) store(key, std::nullopt);
+          }
+        });
+}
+
+void Leader::stop(Machine& machine, Bind& bind, double wind_down_s) {
+  bind.stopping = true;
+  bind.wind_down_s = wind_down_s;
+  send_direct(machine, {Order{Verb::stop, bind.member, bind.try_no, wind_down_s}});
+}
+
+void Leader::stop_all(const Job& job) {
+  for (auto& [host, machine] : machines_) {
+    std::vector<Order> orders;
+    for (auto& [member, bind] : machine.binds) {
+      if (member.job != job.spec.uid) continue;
+      bind.stopping = true;
+      bind.wind_down_s = 0;
+      orders.push_back({Verb::stop, member, bind.try_no, 0});
+    }
+    if (!orders.empty()) send_direct(machine, std::move(orders));
+  }
+}
+
+std::vector<Order> Leader::orders_for(Machine& machine, std::uint64_t answered_counter) {
+  std::vector<Order> orders;
+  for (auto& [member, leftover] : machine.leftovers) {
+    // Invariant 7: a start of this attempt that is still on its way would start it once more.
+    const bool safe = leftover.stored && leftover.directs_pending == 0 &&
+                      (leftover.doubt.value == 0 || leftover.doubt < machine.seen);
+    if (safe && orders.size() < kMaxOrders) orders.push_back({Verb::forget, member, leftover.try_no, 0});
+  }
+  for (auto& [member, bind] : machine.binds) {
+    if (orders.size() >= kMaxOrders) break;
+    if (bind.stopping) {
+      orders.push_back({Verb::stop, member, bind.try_no, bind.wind_down_s});
+    } else if (bind.phase == BindPhase::sent && machine.takes_tasks()) {
+      orders.push_back({Verb::start, member, bind.try_no, 0});
+      bind.answered_counter = answered_counter;
+    }
+  }
+  return orders;
+}
+
+void Leader::send_direct(Machine& machine, std::vector<Order> orders) {
+  if (!valid() || machine.address.empty()) return;
+  for (const auto& order : orders)
+    if (order.verb == Verb::start) ++machine.binds.at(order.member).directs_pending;
+  const wire::Fence fence{term_};
+  // A machine whose session is not known yet answers 409 with its report, which tells it.
+  const auto tenure = std::max<std::uint64_t>(1, machine.tenure.value);
+  const wire::Json body{{"fence", fence.value}, {"tenure", tenure}, {"orders", to_json(orders)}};
+  machine.last_probe = loop().now();
+  ports_.workers.send(machine.address, {net::Method::post, "/commands", body.dump()},
+                      kDirectReports * settings_.report_s,
+                      guard([this, host = machine.host, orders = std::move(orders), fence,
+                             reign = first_term_](const net::Response& response) {
+                        if (reigning_ && reign == first_term_) direct_answered(host, orders, fence, response);
+                      }));
+}
+
+void Leader::direct_answered(const wire::HostId& host, const std::vector<Order>& orders, wire::Fence fence,
+                             const net::Response& response) {
+  const auto found = machines_.find(host);
+  if (found == machines_.end()) return;
+  auto& machine = found->second;
+  const bool certain = response.status == 200 || response.status == 409;
+  for (const auto& order : orders) {
+    if (order.verb != Verb::start) continue;
+    if (const auto bind = machine.binds.find(order.member);
+        bind != machine.binds.end() && bind->second.try_no == order.try_no) {
+      --bind->second.directs_pending;
+      if (!certain) bind->second.doubt = std::max(bind->second.doubt, fence);
+    } else if (const auto left = machine.leftovers.find(order.member);
+               left != machine.leftovers.end() && left->second.try_no == order.try_no) {
+      left->second.directs_pending = std::max(0, left->second.directs_pending - 1);
+      if (!certain) left->second.doubt = std::max(left->second.doubt, fence);
+    }
+    if (!certain) machine.doubt_at = loop().now();
+  }
+  if (!certain) return;
+  try {
+    const auto report = wire::parse_report(wire::parse_object(response.body));
+    if (report.host != machine.host) return;
+    const auto before = machine.tenure;
+    apply(machine, report, true);
+    // A session other than assumed: show the fence again, for the session it has.
+    if (response.status == 409 && !machine.confirmed && machine.tenure != before) send_direct(machine, {});
+  } catch (const std::exception& error) {
+    log_->warn("machine {}: answer cannot be read: {}", host.value, error.what());
+  }
+}
+
+void Leader::warned(Machine& machine, double warning_s) {
+  const double now = loop().now();
+  if (machine.warned_until) return;
+  machine.warned_until = now + warning_s;
+  machine.draining = true;
+  machine.drain_reason = "the cloud takes it back";
+  reclaims_[machine.flavor].count += 1;
+  log_->info("machine {}: the cloud takes it in {} s, {} tasks", machine.host.value, warning_s, machine.binds.size());
+  for (auto& [member, bind] : machine.binds) {
+    const auto job = jobs_.find(member.job);
+    if (job == jobs_.end() || bind.stopping) continue;
+    const auto& spec = job->second.spec;
+    const double left = task_s(job->second) - (bind.running_since > 0 ? now - bind.running_since : 0);
+    // What ends before the notice does may end; the rest moves now, saving what it can.
+    if (!job->second.service() && bind.phase == BindPhase::running && left < warning_s / 2) continue;
+    bind.stopping = true;
+    bind.wind_down_s = spec.snapshot_every_s > 0 && spec.flush_s < warning_s / 2 ? spec.flush_s : 0;
+  }
+  plan_soon();
+}
+
+}  // namespace bankhill::leader
--- /dev/null
+++ b/src/model/job.cpp
@@ -0,0 +1,31 @@
+#include "model/job.hpp"
+
+#include <algorithm>
+
+namespace bankhill::model {
+
+void Job::reset_marks() {
+  marks.assign(spec.members, kReady);
+  ready = spec.members;
+  bound = finished = running = cursor = 0;
+}
+
+void Job::set_mark(std::uint32_t index, Mark mark) {
+  auto count = [this](char of) -> std::uint32_t& {
+    return of == kReady ? ready : of == kBound ? bound : finished;
+  };
+  --count(marks[index]);
+  ++count(mark);
+  marks[index] = mark;
+  if (mark == kReady) cursor = std::min(cursor, index);
+  progress_dirty = true;
+}
+
+bool Job::next_ready(std::uint32_t& index) {
+  if (ready == 0) return false;
+  while (marks[cursor] != kReady) ++cursor;
+  index = cursor;
+  return true;
+}
+
+}  // namespace bankhill::model
--- /dev/null
+++ b/src/model/job.hpp
@@ -0,0 +1,44 @@
+// Jobs and their tasks as the leader sees them. Pure: no input, output or clocks.
+#pragma once
+
+#include <cstdint>
+#include <set>
+#include <string>
+#include <vector>
+
+#include "wire/records.hpp"
+
+namespace bankhill::model {
+
+enum Mark : char { kReady = 0, kBound = 1, kDone = 2 };
+
+struct Job {
+  wire::JobSpec spec;
+  wire::JobPhase phase = wire::JobPhase::accepted;
+  double accepted_at = 0;  // time of day
+  wire::Stamp stamp;
+
+  std::vector<char> marks;  // a Mark for each task; empty until led
+  std::uint32_t ready = 0;
+  std::uint32_t bound = 0;
+  std::uint32_t finished = 0;
+  std::uint32_t running = 0;
+  std::uint32_t cursor = 0;  // no ready task lies before it
+
+  // Failures of tasks, to tell a faulty machine from a faulty job.
+  std::set<wire::HostId> failed_on;
+  std::uint32_t failures_in_row = 0;
+  double blocked_until = 0;  // steady clock
+  std::string reason;        // why it waits or what failed, for its owner
+  bool progress_dirty = true;
+
+  bool live() const { return phase == wire::JobPhase::accepted; }
+  bool service() const { return spec.shape == wire::Shape::daemon; }
+
+  void reset_marks();
+  void set_mark(std::uint32_t index, Mark mark);
+  // The next ready task at or after the cursor; false if there is none.
+  bool next_ready(std::uint32_t& index);
+};
+
+}  // namespace bankhill::model
--- /dev/null
+++ b/src/model/machine.hpp
@@ -0,0 +1,88 @@
+// Machines and the tasks bound to them.
+#pragma once
+
+#include <cstdint>
+#include <map>
+#include <optional>
+#include <set>
+#include <string>
+
+#include "wire/records.hpp"
+
+namespace bankhill::model {
+
+enum class BindPhase { sent, pulling, running, flushing };
+
+// A task told to start on a machine. It stays bound until there is proof that it is gone.
+struct Bind {
+  wire::MemberId member;
+  wire::TryNo try_no;
+  std::string owner;
+  wire::Amounts need;
+  wire::Tenure tenure;  // session in which it was told to start
+  BindPhase phase = BindPhase::sent;
+  bool stopping = false;
+  bool alien = false;  // found here although it is bound elsewhere or over: only to be stopped
+  double wind_down_s = 0;
+  double since = 0;       // steady clock: when it was bound
+  double running_since = 0;
+  // A start sent straight to the worker may arrive late while it is unanswered, and for as long as the
+  // worker has not seen a fence above the one it was sent with.
+  int directs_pending = 0;
+  wire::Fence doubt;  // 0: none
+  // The report whose answer last carried the start; a later report shows whether it was executed.
+  std::uint64_t answered_counter = 0;
+};
+
+// An exited attempt that the worker still lists.
+struct Leftover {
+  wire::TryNo try_no;
+  bool stored = true;  // its exit needs no store, or is in the store
+  int directs_pending = 0;
+  wire::Fence doubt;
+};
+
+struct Machine {
+  wire::HostId host;
+  std::string address;
+  std::string flavor;
+  std::string rack_room;
+  bool reclaimable = false;
+  wire::Amounts size;
+
+  bool up = false;         // has reported, or is recorded as one that did
+  bool recorded = false;   // its record is committed: it may hold tasks
+  bool recording = false;
+  bool confirmed = false;  // has seen a fence of this reign
+  bool draining = false;   // takes no more tasks
+  bool releasing = false;
+  bool release_sent = false;
+  std::string drain_reason;
+
+  wire::Tenure tenure;
+  std::uint64_t counter = 0;
+  wire::Fence seen;
+  double first_seen = 0;    // steady clock
+  double last_contact = 0;  // last new report or direct answer
+  double last_answered = 0; // last report answered: its lease cannot reach beyond lease_s from here
+  double last_probe = 0;
+  double doubt_at = 0;
+  double idle_since = 0;
+  std::optional<double> warned_until;  // steady clock: when the cloud takes it
+
+  std::map<wire::MemberId, Bind> binds;
+  std::map<wire::MemberId, Leftover> leftovers;
+  wire::Amounts used;
+  std::set<std::string> images;  // bundles seen ready here
+  std::uint32_t errors_in_row = 0;
+  std::set<wire::JobId> error_jobs;
+
+  wire::Amounts room() const {
+    wire::Amounts free = size;
+    free -= used;
+    return free;
+  }
+  bool takes_tasks() const { return up && recorded && confirmed && !draining && !releasing; }
+};
+
+}  // namespace bankhill::model
--- /dev/null
+++ b/src/net/evhttp_client.cpp
@@ -0,0 +1,122 @@
+#include "net/evhttp_client.hpp"
+
+#include <event2/buffer.h>
+#include <event2/keyvalq_struct.h>
+
+#include <charconv>
+#include <utility>
+
+namespace bankhill::net {
+
+namespace {
+// An idle connection is not reused after this: the other side may have dropped it silently.
+constexpr double kIdleLimitS = 30;
+constexpr std::size_t kIdlePerAddress = 8;
+
+std::string read_all(evbuffer* buffer) {
+  std::string bytes(evbuffer_get_length(buffer), '\0');
+  if (!bytes.empty()) evbuffer_copyout(buffer, bytes.data(), bytes.size());
+  return bytes;
+}
+}  // namespace
+
+struct EvhttpClient::Exchange {
+  EvhttpClient* client = nullptr;
+  std::uint64_t id = 0;
+  std::string address;
+  Connection connection;
+  Reply reply;
+  runtime::Timer deadline;
+};
+
+EvhttpClient::EvhttpClient(runtime::EventLoop& loop, runtime::Log log) : loop_(loop), log_(std::move(log)) {}
+
+EvhttpClient::~EvhttpClient() {
+  // Freeing a connection calls back for its pending request: those must find nothing.
+  auto exchanges = std::exchange(exchanges_, {});
+}
+
+EvhttpClient::Connection EvhttpClient::take_connection(const std::string& address) {
+  auto& idle = idle_[address];
+  while (!idle.empty()) {
+    Idle candidate = std::move(idle.back());
+    idle.pop_back();
+    if (loop_.now() - candidate.since < kIdleLimitS) return std::move(candidate.connection);
+  }
+  const auto colon = address.rfind(':');
+  if (colon == std::string::npos) return nullptr;
+  unsigned port = 0;
+  std::from_chars(address.data() + colon + 1, address.data() + address.size(), port);
+  return Connection(evhttp_connection_base_new(loop_.base(), nullptr, address.substr(0, colon).c_str(),
+                                               static_cast<unsigned short>(port)));
+}
+
+void EvhttpClient::send(const std::string& address, Request request, double timeout_s, Reply reply) {
+  const auto id = next_id_++;
+  auto exchange = std::make_unique<Exchange>();
+  exchange->client = this;
+  exchange->id = id;
+  exchange->address = address;
+  exchange->reply = std::move(reply);
+  exchange->connection = take_connection(address);
+  if (!exchange->connection) {
+    loop_.post([reply = std::move(exchange->reply)] { reply(Response{}); });
+    return;
+  }
+  exchange->deadline = loop_.after(timeout_s, [this, id] { finish(id, Response{}, false); });
+  evhttp_request* raw = evhttp_request_new(
+      [](evhttp_request* answer, void* context) {
+        auto* done = static_cast<Exchange*>(context);
+        Response response;
+        bool reusable = false;
+        if (answer != nullptr && evhttp_request_get_response_code(answer) != 0) {
+          response.status = evhttp_request_get_response_code(answer);
+          response.body = read_all(evhttp_request_get_input_buffer(answer));
+          const auto* headers = evhttp_request_get_input_headers(answer);
+          if (const char* after = evhttp_find_header(headers, "Retry-After"))
+            response.retry_after_s = std::strtod(after, nullptr);
+          const char* connection = evhttp_find_header(headers, "Connection");
+          reusable = connection == nullptr || evutil_ascii_strcasecmp(connection, "close") != 0;
+        }
+        done->client->finish(done->id, std::move(response), reusable);
+      },
+      exchange.get());
+  auto* headers = evhttp_request_get_output_headers(raw);
+  evhttp_add_header(headers, "Host", address.c_str());
+  if (request.method == Method::post) {
+    evhttp_add_header(headers, "Content-Type", "application/json");
+    evbuffer_add(evhttp_request_get_output_buffer(raw), request.body.data(), request.body.size());
+  }
+  const auto command = request.method == Method::post  ? EVHTTP_REQ_POST
+                       : request.method == Method::del ? EVHTTP_REQ_DELETE
+                                                       : EVHTTP_REQ_GET;
+  auto* connection = exchange->connection.get();
+  exchanges_[id] = std::move(exchange);
+  // On failure evhttp has freed the request without calling back.
+  if (evhttp_make_request(connection, raw, command, request.path.c_str()) != 0)
+    loop_.post([this, id] { finish(id, Response{}, false); });
+}
+
+void EvhttpClient::finish(std::uint64_t id, Response response, bool reusable) {
+  const auto found = exchanges_.find(id);
+  if (found == exchanges_.end()) return;
+  // Taken out first: freeing a connection calls back for its pending request, which must find nothing.
+  std::shared_ptr<Exchange> exchange = std::move(found->second);
+  exchanges_.erase(found);
+  exchange->deadline.reset();
+  auto& idle = idle_[exchange->address];
+  if (reusable && idle.size() < kIdlePerAddress)
+    idle.push_back({std::move(exchange->connection), loop_.now()});
+  auto reply = std::move(exchange->reply);
+  const std::string exchange_address = exchange->address;
+  // evhttp still works on this connection while it calls back: free it on a later turn.
+  loop_.post([exchange]() mutable { exchange.reset(); });
+  try {
+    reply(std::move(response));
+  } catch (const std::exception& error) {
+    // An answer that breaks the protocol must not end the process.
+    log_->error("http: an answer of {} cannot be used: {}", exchange_address, error.what());
+  }
+}
+
+}  // namespace bankhill::net
--- /dev/null
+++ b/src/net/evhttp_client.hpp
@@ -0,0 +1,44 @@
+// HTTP client on evhttp: connections are kept open and reused, every request has a deadline.
+#pragma once
+
+#include <event2/http.h>
+
+#include <deque>
+#include <map>
+#include <memory>
+#include <string>
+
+#include "net/http.hpp"
+#include "runtime/event_loop.hpp"
+#include "runtime/log.hpp"
+
+namespace bankhill::net {
+
+class EvhttpClient final : public Client {
+ public:
+  EvhttpClient(runtime::EventLoop& loop, runtime::Log log);
+  ~EvhttpClient() override;
+  void send(const std::string& address, Request request, double timeout_s, Reply reply) override;
+
+ private:
+  struct ConnectionDeleter {
+    void operator()(evhttp_connection* connection) const { evhttp_connection_free(connection); }
+  };
+  using Connection = std::unique_ptr<evhttp_connection, ConnectionDeleter>;
+  struct Exchange;
+  struct Idle {
+    Connection connection;
+    double since = 0;
+  };
+
+  Connection take_connection(const std::string& address);
+  void finish(std::uint64_t id, Response response, bool reusable);
+
+  runtime::EventLoop& loop_;
+  runtime::Log log_;
+  std::map<std::string, std::deque<Idle>> idle_;
+  std::map<std::uint64_t, std::unique_ptr<Exchange>> exchanges_;
+  std::uint64_t next_id_ = 1;
+};
+
+}  // namespace bankhill::net
--- /dev/null
+++ b/src/net/peer_link.cpp
@@ -0,0 +1,160 @@
+#include "net/peer_link.hpp"
+
+#include <event2/buffer.h>
+
+#include <array>
+#include <cstring>
+#include <stdexcept>
+#include <utility>
+
+namespace bankhill::net {
+
+namespace {
+// What may wait for a slow sibling; beyond it frames are dropped rather than stored.
+constexpr std::size_t kMaxQueued = 4 * wire::kMaxFrame;
+
+timeval seconds(double value) {
+  timeval time{};
+  time.tv_sec = static_cast<time_t>(value);
+  time.tv_usec = static_cast<suseconds_t>((value - static_cast<double>(time.tv_sec)) * 1e6);
+  return time;
+}
+
+sockaddr_storage parse_address(const std::string& address, int& length) {
+  sockaddr_storage storage{};
+  length = sizeof storage;
+  if (evutil_parse_sockaddr_port(address.c_str(), reinterpret_cast<sockaddr*>(&storage), &length) != 0)
+    throw std::runtime_error("not an address: " + address);
+  return storage;
+}
+}  // namespace
+
+PeerLink::PeerLink(runtime::EventLoop& loop, runtime::Log log, std::string self, std::uint64_t incarnation,
+                   const std::string& listen_address, std::vector<Sibling> siblings, double silence_s)
+    : loop_(loop), log_(std::move(log)), self_(std::move(self)), incarnation_(incarnation), silence_s_(silence_s) {
+  int length = 0;
+  const auto address = parse_address(listen_address, length);
+  listener_.reset(evconnlistener_new_bind(
+      loop_.base(),
+      [](evconnlistener*, evutil_socket_t socket, sockaddr*, int, void* link) {
+        static_cast<PeerLink*>(link)->accept(socket);
+      },
+      this, LEV_OPT_CLOSE_ON_FREE | LEV_OPT_REUSEABLE, -1, reinterpret_cast<const sockaddr*>(&address), length));
+  if (!listener_) throw std::runtime_error("cannot listen on " + listen_address);
+  for (auto& sibling : siblings) {
+    auto dialled = std::make_unique<Dialled>();
+    dialled->link = this;
+    dialled->sibling = sibling;
+    dial(*dialled);
+    dialled_[sibling.node] = std::move(dialled);
+  }
+}
+
+PeerLink::~PeerLink() = default;
+
+void PeerLink::listen(std::function<void(const std::string&, wire::Frame)> receiver) {
+  receiver_ = std::move(receiver);
+}
+
+void PeerLink::dial(Dialled& dialled) {
+  dialled.connected = false;
+  dialled.buffer.reset(bufferevent_socket_new(loop_.base(), -1, BEV_OPT_CLOSE_ON_FREE | BEV_OPT_DEFER_CALLBACKS));
+  if (!dialled.buffer) return redial_later(dialled);
+  bufferevent_setcb(
+      dialled.buffer.get(), [](bufferevent* buffer, void*) { evbuffer_drain(bufferevent_get_input(buffer), SIZE_MAX); },
+      nullptr,
+      [](bufferevent*, short what, void* context) {
+        auto& self = *static_cast<Dialled*>(context);
+        if ((what & BEV_EVENT_CONNECTED) != 0) {
+          self.connected = true;
+          self.link->send(self.sibling.node, wire::Hello{self.link->incarnation_, self.link->self_});
+          self.link->log_->debug("peer {}: connected", self.sibling.node);
+        } else {
+          if (self.connected) self.link->log_->info("peer {}: connection lost", self.sibling.node);
+          self.link->redial_later(self);
+        }
+      },
+      &dialled);
+  // Connecting or a blocked write for this long means the sibling is silent.
+  const timeval limit = seconds(silence_s_);
+  bufferevent_set_timeouts(dialled.buffer.get(), nullptr, &limit);
+  bufferevent_enable(dialled.buffer.get(), EV_READ | EV_WRITE);
+  int length = 0;
+  const auto address = parse_address(dialled.sibling.address, length);
+  if (bufferevent_socket_connect(dialled.buffer.get(), reinterpret_cast<const sockaddr*>(&address), length) != 0)
+    redial_later(dialled);
+}
+
+void PeerLink::redial_later(Dialled& dialled) {
+  dialled.connected = false;
+  dialled.retry = loop_.after(silence_s_ / 4, [this, &dialled] { dial(dialled); });
+}
+
+bool PeerLink::send(const std::string& node, const wire::Frame& frame) {
+  const auto found = dialled_.find(node);
+  if (found == dialled_.end() || !found->second->connected) return false;
+  auto* buffer = found->second->buffer.get();
+  if (evbuffer_get_length(bufferevent_get_output(buffer)) > kMaxQueued) return false;
+  const auto bytes = wire::encode(frame);
+  return bufferevent_write(buffer, bytes.data(), bytes.size()) == 0;
+}
+
+void PeerLink::accept(evutil_socket_t socket) {
+  evutil_make_socket_nonblocking(socket);
+  auto accepted = std::make_unique<Accepted>();
+  accepted->link = this;
+  accepted->buffer.reset(
+      bufferevent_socket_new(loop_.base(), socket, BEV_OPT_CLOSE_ON_FREE | BEV_OPT_DEFER_CALLBACKS));
+  if (!accepted->buffer) {
+    evutil_closesocket(socket);
+    return;
+  }
+  bufferevent_setcb(
+      accepted->buffer.get(),
+      [](bufferevent*, void* context) {
+        auto& self = *static_cast<Accepted*>(context);
+        self.link->read(self);
+      },
+      nullptr,
+      [](bufferevent*, short, void* context) {
+        auto& self = *static_cast<Accepted*>(context);
+        self.link->drop(self);
+      },
+      accepted.get());
+  const timeval limit = seconds(silence_s_ * 4);
+  bufferevent_set_timeouts(accepted->buffer.get(), &limit, nullptr);
+  bufferevent_enable(accepted->buffer.get(), EV_READ | EV_WRITE);
+  auto* key = accepted.get();
+  accepted_[key] = std::move(accepted);
+}
+
+void PeerLink::read(Accepted& accepted) {
+  std::array<char, 16384> chunk;
+  while (true) {
+    const std::size_t count = bufferevent_read(accepted.buffer.get(), chunk.data(), chunk.size());
+    if (count == 0) break;
+    accepted.reader.append({chunk.data(), count});
+  }
+  while (auto frame = accepted.reader.next()) {
+    if (const auto* hello = std::get_if<wire::Hello>(&*frame)) {
+      if (dialled_.contains(hello->node)) accepted.node = hello->node;
+      continue;
+    }
+    // Only a sibling that has said who it is may speak.
+    if (!accepted.node.empty() && receiver_) receiver_(accepted.node, std::move(*frame));
+  }
+  if (accepted.reader.error() != wire::FrameError::none) {
+    log_->warn("peer {}: malformed frame, closing", accepted.node.empty() ? "unknown" : accepted.node);
+    drop(accepted);
+  }
+}
+
+void PeerLink::drop(Accepted& accepted) {
+  const auto found = accepted_.find(&accepted);
+  if (found == accepted_.end()) return;
+  std::shared_ptr<Accepted> gone = std::move(found->second);
+  accepted_.erase(found);
+  loop_.post([gone]() mutable { gone.reset(); });
+}
+
+}  // namespace bankhill::net
--- /dev/null
+++ b/src/net/peer_link.hpp
@@ -0,0 +1,71 @@
+// Frames between controllers over TCP. Each node dials every sibling and sends on what it dialled.
+#pragma once
+
+#include <event2/bufferevent.h>
+#include <event2/listener.h>
+
+#include <map>
+#include <memory>
+#include <string>
+#include <vector>
+
+#include "net/http.hpp"
+#include "runtime/event_loop.hpp"
+#include "runtime/log.hpp"
+
+namespace bankhill::net {
+
+struct Sibling {
+  std::string node;
+  std::string address;
+};
+
+class PeerLink final : public PeerPort {
+ public:
+  // `silence_s`: a connection without any frame for this long is dialled anew.
+  PeerLink(runtime::EventLoop& loop, runtime::Log log, std::string self, std::uint64_t incarnation,
+           const std::string& listen_address, std::vector<Sibling> siblings, double silence_s);
+  ~PeerLink() override;
+  bool send(const std::string& node, const wire::Frame& frame) override;
+  void listen(std::function<void(const std::string&, wire::Frame)> receiver) override;
+
+ private:
+  struct BufferDeleter {
+    void operator()(bufferevent* buffer) const { bufferevent_free(buffer); }
+  };
+  struct ListenerDeleter {
+    void operator()(evconnlistener* listener) const { evconnlistener_free(listener); }
+  };
+  using Buffer = std::unique_ptr<bufferevent, BufferDeleter>;
+  struct Dialled {
+    PeerLink* link = nullptr;
+    Sibling sibling;
+    Buffer buffer;
+    bool connected = false;
+    runtime::Timer retry;
+  };
+  struct Accepted {
+    PeerLink* link = nullptr;
+    std::string node;
+    Buffer buffer;
+    wire::FrameReader reader;
+  };
+
+  void dial(Dialled& dialled);
+  void redial_later(Dialled& dialled);
+  void accept(evutil_socket_t socket);
+  void read(Accepted& accepted);
+  void drop(Accepted& accepted);
+
+  runtime::EventLoop& loop_;
+  runtime::Log log_;
+  std::string self_;
+  std::uint64_t incarnation_;
+  double silence_s_;
+  std::unique_ptr<evconnlistener, ListenerDeleter> listener_;
+  std::map<std::string, std::unique_ptr<Dialled>> dialled_;
+  std::map<Accepted*, std::unique_ptr<Accepted>> accepted_;
+  std::function<void(const std::string&, wire::Frame)> receiver_;
+};
+
+}  // namespace bankhill::net
--- /dev/null
+++ b/src/net/relay.cpp
@@ -0,0 +1,70 @@
+#include "net/relay.hpp"
+
+#include <algorithm>
+#include <utility>
+
+namespace bankhill::net {
+
+Relay::Relay(runtime::Loop& loop, std::vector<std::string> siblings, double beat_s, Ports ports)
+    : Actor(loop), siblings_(std::move(siblings)), beat_s_(beat_s), ports_(std::move(ports)) {}
+
+void Relay::start() { beat(); }
+
+void Relay::beat() {
+  const auto frame = ports_.beat();
+  for (const auto& node : siblings_) ports_.peers.send(node, frame);
+  beat_timer_ = loop().after(beat_s_ * loop().uniform(0.9, 1.1), guard([this] { beat(); }));
+}
+
+std::string Relay::sibling_with_state() const {
+  for (const auto& [node, heard] : heard_)
+    if (fresh(heard) && heard.beat.state_ok) return node;
+  return {};
+}
+
+bool Relay::any_sibling() const {
+  return std::any_of(heard_.begin(), heard_.end(), [this](const auto& entry) { return fresh(entry.second); });
+}
+
+void Relay::on(Received& message) {
+  if (auto* beat = std::get_if<wire::Beat>(&message.frame)) {
+    heard_[message.node] = {*beat, loop().now()};
+  } else if (auto* call = std::get_if<wire::Call>(&message.frame)) {
+    Request request{call->post ? Method::post : Method::get, std::move(call->path), std::move(call->body)};
+    ports_.handler(std::move(request), guard([this, node = message.node, id = call->id](const Response& response) {
+                     wire::Answer answer{id, static_cast<std::uint16_t>(response.status), 0, response.body};
+                     if (response.retry_after_s)
+                       answer.retry_after_ms = static_cast<std::uint32_t>(*response.retry_after_s * 1000);
+                     ports_.peers.send(node, answer);
+                   }));
+  } else if (auto* reply = std::get_if<wire::Answer>(&message.frame)) {
+    Response response{reply->status, std::move(reply->body), std::nullopt};
+    if (reply->retry_after_ms > 0) response.retry_after_s = reply->retry_after_ms / 1000.0;
+    answer(reply->id, std::move(response));
+  } else if (auto* progress = std::get_if<wire::Progress>(&message.frame)) {
+    ports_.progress(std::move(*progress));
+  }
+}
+
+void Relay::on(RelayCall& message) {
+  const auto id = next_id_++;
+  const bool sent = ports_.peers.send(message.node, wire::Call{id, message.request.method == Method::post,
+                                                               message.request.path, message.request.body});
+  if (!sent) return message.reply(Response{});
+  waiting_[id] = {std::move(message.reply),
+                  loop().after(message.timeout_s, guard([this, id] { answer(id, Response{}); }))};
+}
+
+void Relay::answer(std::uint64_t id, Response response) {
+  const auto found = waiting_.find(id);
+  if (found == waiting_.end()) return;
+  const auto reply = std::move(found->second.reply);
+  waiting_.erase(found);
+  reply(std::move(response));
+}
+
+void Relay::on(Broadcast& message) {
+  for (const auto& node : siblings_) ports_.peers.send(node, message.progress);
+}
+
+}  // namespace bankhill::net
--- /dev/null
+++ b/src/net/relay.hpp
@@ -0,0 +1,71 @@
+// What controllers tell one another: beats, relayed requests, progress of jobs.
+#pragma once
+
+#include <functional>
+#include <map>
+#include <string>
+#include <vector>
+
+#include "net/http.hpp"
+#include "runtime/actor.hpp"
+
+namespace bankhill::net {
+
+// Messages.
+struct Received {
+  std::string node;
+  wire::Frame frame;
+};
+struct RelayCall {  // to `node`; the reply has status 0 when no answer came in time
+  std::string node;
+  Request request;
+  double timeout_s = 0;
+  Reply reply;
+};
+struct Broadcast {
+  wire::Progress progress;
+};
+
+class Relay : public runtime::Actor<Relay, Received, RelayCall, Broadcast> {
+ public:
+  struct Ports {
+    PeerPort& peers;
+    Handler handler;                                // serves what siblings relay
+    std::function<wire::Beat()> beat;               // what to tell the siblings now
+    std::function<void(wire::Progress)> progress;   // what the leader tells
+  };
+
+  Relay(runtime::Loop& loop, std::vector<std::string> siblings, double beat_s, Ports ports);
+  void start();
+
+  // A sibling heard of lately that reaches the state service; empty if there is none.
+  std::string sibling_with_state() const;
+  bool any_sibling() const;
+
+  void on(Received& message);
+  void on(RelayCall& message);
+  void on(Broadcast& message);
+
+ private:
+  struct Heard {
+    wire::Beat beat;
+    double at = -1e9;
+  };
+  struct Waiting {
+    Reply reply;
+    runtime::Timer deadline;
+  };
+  void beat();
+  void answer(std::uint64_t id, Response response);
+  bool fresh(const Heard& heard) const { return loop().now() - heard.at < 3 * beat_s_; }
+
+  std::vector<std::string> siblings_;
+  double beat_s_;
+  Ports ports_;
+  std::map<std::string, Heard> heard_;
+  std::map<std::uint64_t, Waiting> waiting_;
+  std::uint64_t next_id_ = 1;
+  runtime::Timer beat_timer_;
+};
+
+}  // namespace bankhill::net
--- /dev/null
+++ b/src/planner/planner.cpp
@@ -0,0 +1,113 @@
+#include "planner/planner.hpp"
+
+#include <algorithm>
+#include <cmath>
+#include <limits>
+
+namespace bankhill::planner {
+
+namespace {
+constexpr double kHourS = 3600;
+constexpr double kRounding = 1e-6;
+
+double part(double need, double size) {
+  return need <= 0 ? std::numeric_limits<double>::infinity() : std::floor(size / need + kRounding);
+}
+
+double cost(const std::vector<double>& counts, const std::vector<Offer>& offers, bool spot) {
+  double sum = 0;
+  for (std::size_t i = 0; i < offers.size(); ++i)
+    sum += counts[i] * (spot ? offers[i].flavor.low_price : offers[i].flavor.rate);
+  return sum;
+}
+
+// Machines that the work keeps busy over its window, each task capped at one hour.
+double machines(const Work& work, const wire::Amounts& size) {
+  const double busy = work.service ? 1 : std::min(work.task_s, kHourS) / std::max(work.window_s, work.task_s);
+  return work.tasks * busy / slots(work.need, size);
+}
+}  // namespace
+
+std::vector<double> scale(const std::vector<double>& c, double ratio) {
+  std::vector<double> result;
+  result.reserve(c.size());
+  for (const double count : c) result.push_back(std::round(ratio < 1 ? count * ratio : count));
+  return result;
+}
+
+double slots(const wire::Amounts& need, const wire::Amounts& size) {
+  return std::min({part(need.cores, size.cores), part(need.accelerators, size.accelerators),
+                   part(need.ram_gb, size.ram_gb)});
+}
+
+bool allows(const std::optional<std::vector<std::string>>& flavors, const std::string& flavor) {
+  return !flavors || std::find(flavors->begin(), flavors->end(), flavor) != flavors->end();
+}
+
+std::optional<std::size_t> preferred(const Work& work, const std::vector<Offer>& offers) {
+  std::optional<std::size_t> best;
+  double best_price = 0;
+  for (std::size_t i = 0; i < offers.size(); ++i) {
+    const auto& flavor = offers[i].flavor;
+    const double count = slots(work.need, flavor.size);
+    if (count < 1 || !allows(work.flavors, flavor.name)) continue;
+    if (work.rack_room && std::find(flavor.rack_rooms.begin(), flavor.rack_rooms.end(), *work.rack_room) ==
+                              flavor.rack_rooms.end())
+      continue;
+    // All types run a task equally fast; boot time differs, but is paid once for many short tasks.
+    const double price = flavor.rate / count;
+    if (!best || price < best_price) {
+      best = i;
+      best_price = price;
+    }
+  }
+  return best;
+}
+
+double budget(const std::vector<Work>& work, const std::vector<Offer>& offers) {
+  double sum = 0;
+  for (const auto& item : work) {
+    double total = 0;
+    double types = 0;
+    for (const auto& offer : offers) {
+      if (slots(item.need, offer.flavor.size) < 1 || !allows(item.flavors, offer.flavor.name)) continue;
+      total += machines(item, offer.flavor.size) * offer.flavor.rate;
+      ++types;
+    }
+    if (types > 0) sum += total / types;
+  }
+  return sum;
+}
+
+Plan plan(const std::vector<Work>& work, const std::vector<Offer>& offers, double alpha) {
+  Plan result;
+  std::vector<double> c(offers.size(), 0);
+  std::vector<double> steady_only(offers.size(), 0);
+  for (const auto& item : work) {
+    const auto type = preferred(item, offers);
+    if (!type) continue;
+    const double count = machines(item, offers[*type].flavor.size);
+    c[*type] += count;
+    if (!item.reclaimable) steady_only[*type] += count;
+  }
+  result.budget = budget(work, offers);
+  const double fast = cost(c, offers, false);
+  result.steady = scale(c, fast > 0 ? result.budget * (1 - alpha) / fast : 1);
+  std::vector<double> rest(offers.size(), 0);
+  for (std::size_t i = 0; i < offers.size(); ++i) {
+    // Work that may not run on spot machines cannot be split by alpha.
+    result.steady[i] = std::max(result.steady[i], std::ceil(steady_only[i] - kRounding));
+    if (offers[i].spot_allowed) rest[i] = std::max(0.0, c[i] - result.steady[i]);
+  }
+  const double cheap = cost(rest, offers, true);
+  result.spot = scale(rest, cheap > 0 ? result.budget * alpha / cheap : 1);
+  return result;
+}
+
+double slack(bool service, std::optional<double> due_in_s, double task_s) {
+  if (service) return 0;
+  if (!due_in_s) return std::numeric_limits<double>::max();
+  return std::max(0.0, *due_in_s - task_s);
+}
+
+}  // namespace bankhill::planner
--- /dev/null
+++ b/src/state/store.cpp
@@ -0,0 +1,257 @@
+#include "state/store.hpp"
+
+#include <utility>
+
+#include "wire/records.hpp"
+
+namespace bankhill::state {
+
+using net::Method;
+using net::Response;
+using wire::Json;
+
+namespace {
+// No answer for this long: the request counts as unanswered. Answers usually take milliseconds.
+constexpr double kAnswerS = 1.0;
+constexpr double kWatchS = 10.0;
+constexpr double kHeartbeatS = 1.0;
+constexpr std::size_t kPage = 1000;
+// Part of the request limit that one controller's read barriers may use.
+constexpr double kBarrierShare = 0.1;
+// Part of a controller's share of the request limit that only urgent requests may use.
+constexpr double kUrgentReserve = 0.3;
+constexpr double kControllers = 3;
+
+bool served(const Response& response) {
+  return response.status == 200 || response.status == 404 || response.status == 409;
+}
+}  // namespace
+
+Store::Store(runtime::Loop& loop, net::Client& client, runtime::Log log, std::string address, Limits limits)
+    : Actor(loop),
+      client_(client),
+      log_(std::move(log)),
+      address_(std::move(address)),
+      limits_(limits),
+      // Each controller keeps to its share; the leader's larger need fits what the others leave idle.
+      requests_(limits.rps / kControllers, limits.rps / kControllers),
+      writes_(limits.write_rps * 2 / kControllers, limits.write_rps * 2 / kControllers) {}
+
+void Store::start() {
+  list("");
+  heartbeat();
+}
+
+void Store::send(Method method, std::string path, std::string body, double timeout_s, net::Reply reply) {
+  client_.send(address_, {method, std::move(path), std::move(body)}, timeout_s,
+               guard([this, reply = std::move(reply)](Response response) {
+                 if (served(response)) last_ok_ = loop().now();
+                 reply(std::move(response));
+               }));
+}
+
+void Store::list(std::string after) {
+  if (after.empty()) {
+    listing_.clear();
+    listing_epoch_ = {};
+  }
+  std::string path = "/keys?starts=" + wire::kRoot + "&most=" + std::to_string(kPage);
+  if (!after.empty()) path += "&after=" + after;
+  send(Method::get, std::move(path), "", kAnswerS * 4, [this, first = after.empty()](const Response& response) {
+    Json page = response.status == 200 ? Json::parse(response.body, nullptr, false) : Json();
+    if (!page.is_object() || !page.contains("items")) {
+      list_timer_ = loop().after(loop().uniform(0.1, 0.3), [this] { list(""); });
+      return;
+    }
+    if (first) listing_epoch_ = wire::Epoch{wire::count_field(page, "epoch")};
+    std::string last;
+    for (const auto& item : page["items"]) {
+      last = wire::text_field(item, "k");
+      listing_[last] = Entry{item.value("data", Json()), wire::Stamp{wire::count_field(item, "stamp")}};
+    }
+    if (page.value("has_next", false) && !last.empty()) return list(last);
+    // What was known and is no longer listed was deleted meanwhile.
+    std::vector<Change> changes;
+    for (const auto& [key, stamp] : known_)
+      if (!listing_.contains(key) && stamp.value <= listing_epoch_.value)
+        changes.push_back({key, std::nullopt, wire::Stamp{listing_epoch_.value + 1}});
+    for (auto& [key, entry] : listing_) changes.push_back({key, std::move(entry.data), entry.stamp});
+    listing_.clear();
+    epoch_ = listing_epoch_;
+    publish(std::move(changes));
+    synced_ = true;
+    relist_ = false;
+    log_->info("state: read all keys at epoch {}", epoch_.value);
+    watch();
+  });
+}
+
+void Store::publish(std::vector<Change> changes) {
+  std::vector<Change> fresh;
+  for (auto& change : changes) {
+    const auto found = known_.find(change.key);
+    if (found != known_.end() && found->second >= change.stamp) continue;
+    if (change.data)
+      known_[change.key] = change.stamp;
+    else if (found != known_.end())
+      known_.erase(found);
+    else
+      continue;
+    fresh.push_back(std::move(change));
+  }
+  if (fresh.empty()) return;
+  const auto shared = std::make_shared<const std::vector<Change>>(std::move(fresh));
+  for (const auto& subscriber : subscribers_) subscriber(shared);
+}
+
+bool Store::apply_news(const Response& response) {
+  if (response.status == 410) {
+    if (!std::exchange(relist_, true)) {
+      log_->info("state: the watch is too far behind, reading all keys");
+      list("");
+    }
+    return false;
+  }
+  if (response.status != 200) return false;
+  const Json news = Json::parse(response.body, nullptr, false);
+  if (!news.is_object() || !news.contains("epoch")) return false;
+  const wire::Epoch epoch{wire::count_field(news, "epoch")};
+  std::vector<Change> changes;
+  if (!wire::absent(news, "news"))
+    for (const auto& item : news["news"]) {
+      const wire::Stamp stamp{wire::count_field(item, "stamp")};
+      // Watch and barrier overlap: what an earlier response covered must not undo a later deletion.
+      if (stamp.value <= epoch_.value) continue;
+      if (item.contains("write"))
+        changes.push_back({wire::text_field(item, "write"), item.value("data", Json()), stamp});
+      else
+        changes.push_back({wire::text_field(item, "delete"), std::nullopt, stamp});
+    }
+  publish(std::move(changes));
+  epoch_ = std::max(epoch_, epoch);
+  last_news_ = loop().now();
+  return true;
+}
+
+void Store::watch() {
+  watch_timer_.reset();
+  std::string path = "/watch?starts=" + wire::kRoot + "&after=" + std::to_string(epoch_.value) +
+                     "&block_ms=" + std::to_string(static_cast<int>(kWatchS * 1000));
+  send(Method::get, std::move(path), "", kWatchS * 1.5, [this](const Response& response) {
+    const bool fine = apply_news(response);
+    if (relist_) return;
+    // A short pause lets changes gather, so that a burst does not cost a request each.
+    const double pause = fine ? 4 / limits_.rps : loop().uniform(0.1, 0.3);
+    watch_timer_ = loop().after(pause, [this] { watch(); });
+  });
+}
+
+void Store::heartbeat() {
+  // An open watch does not show an outage: ask now and then, so that health and siblings know.
+  if (loop().now() - last_news_ >= kHeartbeatS * 0.9 && synced_) tell(Sync{[](bool) {}, false});
+  heartbeat_timer_ = loop().after(kHeartbeatS * loop().uniform(0.9, 1.1), [this] { heartbeat(); });
+}
+
+void Store::on(Sync& message) {
+  if (!synced_) return message.done(false);
+  waiting_.push_back(std::move(message.done));
+  waiting_urgent_ = waiting_urgent_ || message.urgent;
+  run_barrier();
+}
+
+void Store::run_barrier() {
+  if (barrier_running_ || waiting_.empty()) return;
+  const double gap = 1 / (limits_.rps * kBarrierShare);
+  const double wait = waiting_urgent_ ? 0 : last_barrier_ + gap - loop().now();
+  if (wait > 0) {
+    if (!barrier_timer_)
+      barrier_timer_ = loop().after(wait, [this] {
+        barrier_timer_.reset();
+        run_barrier();
+      });
+    return;
+  }
+  barrier_running_ = true;
+  waiting_urgent_ = false;
+  last_barrier_ = loop().now();
+  auto served_now = std::exchange(waiting_, {});
+  // A watch that does not block reads every change up to now: whatever was committed before this request
+  // was sent is in its answer.
+  std::string path = "/watch?starts=" + wire::kRoot + "&after=" + std::to_string(epoch_.value) + "&block_ms=0";
+  send(Method::get, std::move(path), "", kAnswerS,
+       [this, served_now = std::move(served_now)](const Response& response) {
+         const bool fine = !relist_ && apply_news(response);
+         barrier_running_ = false;
+         for (const auto& done : served_now) done(fine);
+         run_barrier();
+       });
+}
+
+void Store::on(Commit& message) {
+  const double now = loop().now();
+  const double reserve = message.urgent ? 0 : kUrgentReserve * limits_.rps / kControllers;
+  if (!requests_.take(now, 1, reserve) ||
+      !writes_.take(now, static_cast<double>(message.transaction.writes.size())))
+    return message.done({Outcome::refused, {}});
+  Json when = Json::array();
+  for (const auto& condition : message.transaction.when)
+    when.push_back({{"k", condition.key}, {"stamp", condition.stamp.value}});
+  Json writes = Json::array();
+  for (const auto& write : message.transaction.writes) {
+    if (!write.data) {
+      writes.push_back({{"delete", write.key}});
+      continue;
+    }
+    Json item{{"write", write.key}, {"data", *write.data}};
+    if (write.hold) item["hold"] = *write.hold;
+    writes.push_back(std::move(item));
+  }
+  send(Method::post, "/commit", Json{{"when", std::move(when)}, {"writes", std::move(writes)}}.dump(), kAnswerS,
+       [this, done = std::move(message.done)](const Response& response) {
+         CommitResult result;
+         const Json body = Json::parse(response.body, nullptr, false);
+         if (body.is_object() && body.contains("epoch")) result.epoch = wire::Epoch{wire::count_field(body, "epoch")};
+         if (response.status == 200)
+           result.outcome = Outcome::done;
+         else if (response.status == 409)
+           result.outcome = Outcome::conflict;
+         else if (response.status != 0)
+           result.outcome = Outcome::refused;
+         if (response.status == 400) log_->error("state: transaction refused as malformed: {}", response.body);
+         done(result);
+       });
+}
+
+void Store::on(Fetch& message) {
+  send(Method::get, "/keys/" + message.key, "", kAnswerS, [done = std::move(message.done)](const Response& response) {
+    if (response.status == 404) return done(true, std::nullopt);
+    const Json body = response.status == 200 ? Json::parse(response.body, nullptr, false) : Json();
+    if (!body.is_object() || !body.contains("data")) return done(false, std::nullopt);
+    done(true, Entry{body["data"], wire::Stamp{wire::count_field(body, "stamp")}});
+  });
+}
+
+void Store::on(OpenLease& message) {
+  const auto ttl = static_cast<std::uint64_t>(message.ttl_s * 1000);
+  send(Method::post, "/leases", Json{{"ttl_ms", ttl}}.dump(), kAnswerS,
+       [done = std::move(message.done)](const Response& response) {
+         const Json body = response.status == 200 ? Json::parse(response.body, nullptr, false) : Json();
+         if (!body.is_object() || !body.contains("hold")) return done(std::nullopt);
+         done(wire::count_field(body, "hold"));
+       });
+}
+
+void Store::on(TouchLease& message) {
+  send(Method::post, "/leases/" + std::to_string(message.hold) + "/touch", "{}", message.timeout_s,
+       [done = std::move(message.done)](const Response& response) {
+         if (response.status == 200) return done(true);
+         if (response.status == 404) return done(false);
+         done(std::nullopt);
+       });
+}
+
+void Store::on(EndLease& message) {
+  send(Method::del, "/leases/" + std::to_string(message.hold), "", kAnswerS, [](const Response&) {});
+}
+
+}  // namespace bankhill::state
--- /dev/null
+++ b/src/state/store.hpp
@@ -0,0 +1,135 @@
+// Client of the state service: transactions, a watch on everything bankhill keeps there, and the read
+// barrier that makes what is known locally as new as any answer that any controller has given.
+#pragma once
+
+#include <functional>
+#include <map>
+#include <string>
+#include <vector>
+
+#include "net/http.hpp"
+#include "net/rate_limit.hpp"
+#include "runtime/actor.hpp"
+#include "runtime/log.hpp"
+#include "state/view.hpp"
+
+namespace bankhill::state {
+
+struct Limits {
+  double rps = 100;
+  double write_rps = 50;
+  double value_kb = 8;
+  std::size_t txn_ops = 16;
+};
+
+struct Condition {
+  std::string key;
+  wire::Stamp stamp;
+};
+
+struct Write {
+  std::string key;
+  std::optional<wire::Json> data;  // empty: delete
+  std::optional<std::uint64_t> hold;
+};
+
+struct Transaction {
+  std::vector<Condition> when;
+  std::vector<Write> writes;
+};
+
+enum class Outcome {
+  done,
+  conflict,  // a condition failed: nothing was written
+  refused,   // not executed
+  unknown,   // may have been executed, or may still be
+};
+
+struct CommitResult {
+  Outcome outcome = Outcome::unknown;
+  wire::Epoch epoch;
+};
+
+// Messages.
+struct Commit {
+  Transaction transaction;
+  std::function<void(CommitResult)> done;
+  bool urgent = true;  // leases, commits and recovery go before polls
+};
+struct Sync {  // read barrier: done(true) once every change committed before this message has been published
+  std::function<void(bool)> done;
+  bool urgent = false;
+};
+struct Fetch {  // one key, read from the service itself
+  std::string key;
+  std::function<void(bool known, std::optional<Entry>)> done;
+};
+struct OpenLease {
+  double ttl_s = 0;
+  std::function<void(std::optional<std::uint64_t> hold)> done;
+};
+struct TouchLease {
+  std::uint64_t hold = 0;
+  double timeout_s = 0;
+  // true: renewed, false: the lease has ended, nothing: cannot tell.
+  std::function<void(std::optional<bool>)> done;
+};
+struct EndLease {
+  std::uint64_t hold = 0;
+};
+
+class Store : public runtime::Actor<Store, Commit, Sync, Fetch, OpenLease, TouchLease, EndLease> {
+ public:
+  Store(runtime::Loop& loop, net::Client& client, runtime::Log log, std::string address, Limits limits);
+
+  // Subscribers get every change once, in order; call before start().
+  void subscribe(std::function<void(Changes)> subscriber) { subscribers_.push_back(std::move(subscriber)); }
+  void start();
+  // Seconds since the service last answered usefully.
+  double silence() const { return loop().now() - last_ok_; }
+  bool synced() const { return synced_; }
+
+  void on(Commit& message);
+  void on(Sync& message);
+  void on(Fetch& message);
+  void on(OpenLease& message);
+  void on(TouchLease& message);
+  void on(EndLease& message);
+
+ private:
+  void send(net::Method method, std::string path, std::string body, double timeout_s, net::Reply reply);
+  void list(std::string after);
+  void watch();
+  void run_barrier();
+  void heartbeat();
+  bool apply_news(const net::Response& response);
+  void publish(std::vector<Change> changes);
+
+  net::Client& client_;
+  runtime::Log log_;
+  std::string address_;
+  Limits limits_;
+  net::RateLimit requests_;
+  net::RateLimit writes_;
+  std::vector<std::function<void(Changes)>> subscribers_;
+
+  std::map<std::string, wire::Stamp> known_;
+  std::map<std::string, Entry> listing_;  // pages of a list under way
+  wire::Epoch listing_epoch_;
+  wire::Epoch epoch_;
+  bool synced_ = false;
+  bool relist_ = false;
+  double last_ok_ = -1e9;
+  double last_news_ = -1e9;
+
+  std::vector<std::function<void(bool)>> waiting_;
+  bool waiting_urgent_ = false;
+  bool barrier_running_ = false;
+  double last_barrier_ = -1e9;
+  runtime::Timer barrier_timer_;
+  runtime::Timer watch_timer_;
+  runtime::Timer list_timer_;
+  runtime::Timer heartbeat_timer_;
+};
+
+}  // namespace bankhill::state
--- /dev/null
+++ b/src/state/view.hpp
@@ -0,0 +1,40 @@
+// A copy of part of the store, kept by applying changes in any order that respects stamps.
+#pragma once
+
+#include <map>
+#include <memory>
+#include <optional>
+#include <string>
+#include <vector>
+
+#include "wire/ids.hpp"
+#include "wire/messages.hpp"
+
+namespace bankhill::state {
+
+struct Change {
+  std::string key;
+  std::optional<wire::Json> data;  // empty: deleted
+  wire::Stamp stamp;
+};
+
+using Changes = std::shared_ptr<const std::vector<Change>>;
+
+struct Entry {
+  wire::Json data;
+  wire::Stamp stamp;
+};
+
+class View {
+ public:
+  // False when the change is older than what is known.
+  bool apply(const Change& change);
+  const Entry* find(const std::string& key) const;
+  wire::Stamp stamp(const std::string& key) const;  // 0: the key does not exist
+  const std::map<std::string, Entry>& entries() const { return entries_; }
+
+ private:
+  std::map<std::string, Entry> entries_;
+};
+
+}  // namespace bankhill::state
