--- /dev/null
+++ b/tests/gateway_test.cpp
@@ -0,0 +1,41 @@
+// Admission: what can never run is refused, and nothing else.
+#include <gtest/gtest.h>
+
+#include "gateway/admission.hpp"
+
+namespace bankhill::gateway {
+namespace {
+
+TEST(Admission, Reasons) {
+  wire::Flavor flavor;
+  flavor.name = "m";
+  flavor.size = {8, 0, 32};
+  flavor.rack_rooms = {"a"};
+  const std::vector<TeamLimit> teams = {{"red", {16, 0, 0}}};
+  wire::JobSpec spec;
+  spec.owner = "red";
+  spec.need = {8, 0, 32};
+  spec.members = 50;
+  EXPECT_FALSE(refusal(spec, teams, {flavor})) << "an array needs room for one task";
+  auto other = spec;
+  other.shape = wire::Shape::daemon;
+  EXPECT_TRUE(refusal(other, teams, {flavor})) << "a service needs room for all";
+  other = spec;
+  other.owner = "blue";
+  EXPECT_TRUE(refusal(other, teams, {flavor}));
+  other = spec;
+  other.need.ram_gb = 33;
+  EXPECT_TRUE(refusal(other, teams, {flavor}));
+  other = spec;
+  other.need.accelerators = 1;
+  EXPECT_TRUE(refusal(other, teams, {flavor}));
+  other = spec;
+  other.flavors = std::vector<std::string>{"x"};
+  EXPECT_TRUE(refusal(other, teams, {flavor}));
+  other = spec;
+  other.rack_room = "b";
+  EXPECT_TRUE(refusal(other, teams, {flavor}));
+}
+
+}  // namespace
+}  // namespace bankhill::gateway
--- /dev/null
+++ b/tests/settings_test.cpp
@@ -0,0 +1,57 @@
+// Settings: errors name the field.
+#include <gtest/gtest.h>
+
+#include "app/settings.hpp"
+
+namespace bankhill::app {
+namespace {
+
+wire::Json good() {
+  return wire::Json::parse(R"({"host_name":"worker-0","zone":"a","api_addr":"10.0.0.1:8080",
+    "peer_listen":"10.0.0.1:8081","siblings":[{"host_name":"worker-1","zone":"b","addr":"10.0.0.2:8081"}],
+    "external":{"cloud":"10.2.0.2:8443","state":"10.2.0.1:2379"},"later":1,
+    "params":{"teams":[{"name":"red","cpus":7,"cpus_max":9.5,"gpus":0,"gpus_max":0}],
+    "objectives":[{"kind":"finished","class":"x","within_s":120,"share":0.9}],
+    "workers":{"report_s":3,"lease_s":44,"cancel_s":69},
+    "state":{"rps":250,"write_rps":60,"value_kb":8,"txn_ops":32},"cloud":{"rps":6,"list_lag_s":6}}})");
+}
+
+TEST(Settings, Reads) {
+  const auto settings = parse_settings(good().dump());
+  EXPECT_EQ(settings.siblings.at(0).addr, "10.0.0.2:8081");
+  EXPECT_EQ(settings.teams.at(0).limit.cores, 9.5);
+  EXPECT_EQ(settings.within_s.at("x"), 120);
+}
+
+TEST(Settings, ErrorsNameTheField) {
+  for (const auto* pointer : {"/host_name", "/api_addr", "/external/state", "/params/workers/lease_s",
+                              "/params/teams/0/name", "/params/state/txn_ops", "/params/cloud", "/siblings"}) {
+    auto broken = good();
+    const wire::Json::json_pointer where(pointer);
+    broken[where.parent_pointer()].erase(where.back());
+    try {
+      parse_settings(broken.dump());
+      FAIL() << pointer << " may be missing";
+    } catch (const BadSettings& error) {
+      EXPECT_NE(std::string(error.what()).find("'" + where.back() + "'"), std::string::npos) << error.what();
+    }
+  }
+  auto broken = good();
+  broken["params"]["workers"]["cancel_s"] = 44;
+  EXPECT_THROW(parse_settings(broken.dump()), BadSettings);
+  broken = good();
+  broken["api_addr"] = "10.0.0.1";
+  EXPECT_THROW(parse_settings(broken.dump()), BadSettings);
+}
+
+TEST(OperatorSettings, UnknownKeysAndBadValuesAreRefused) {
+  EXPECT_EQ(parse_operator_settings("alpha: 0.25\n").alpha, 0.25);
+  EXPECT_NO_THROW(parse_operator_settings(""));
+  EXPECT_THROW(parse_operator_settings("alfa: 0.25\n"), BadSettings);
+  EXPECT_THROW(parse_operator_settings("alpha: 2\n"), BadSettings);
+  EXPECT_THROW(parse_operator_settings("alpha: high\n"), BadSettings);
+  EXPECT_THROW(parse_operator_settings("- 1\n"), BadSettings);
+}
+
+}  // namespace
+}  // namespace bankhill::app
--- /dev/null
+++ b/tests/sim/world.cpp
@@ -0,0 +1,844 @@
+#include "sim/world.hpp"
+
+#include <algorithm>
+#include <cmath>
+#include <tuple>
+
+namespace bankhill::sim {
+
+using net::Method;
+using net::Request;
+using net::Response;
+using wire::ExitCause;
+using wire::Json;
+using wire::MemberId;
+using wire::MemberPhase;
+
+namespace {
+constexpr double kWall = 1.8e9;
+constexpr double kReportDrop = 4;
+constexpr double kListLag = 5;
+const std::vector<std::string> kZones = {"za", "zb"};
+
+app::Settings site(int node) {
+  Json params{{"teams",
+               {{{"name", "red"}, {"cpus", 16}, {"cpus_max", 40}}, {{"name", "blue"}, {"cpus", 12}, {"cpus_max", 24}}}},
+              {"workers", {{"report_s", 3}, {"lease_s", 20}, {"cancel_s", 40}}},
+              {"state", {{"rps", 300}, {"write_rps", 100}, {"value_kb", 8}, {"txn_ops", 16}}},
+              {"cloud", {{"rps", 10}, {"list_lag_s", kListLag}}}};
+  Json root{{"host_name", "node-" + std::to_string(node)},
+            {"zone", kZones[static_cast<std::size_t>(node) % 2]},
+            {"api_addr", "10.0.0.1:80"},
+            {"peer_listen", "10.0.0.1:81"},
+            {"siblings", Json::array()},
+            {"external", {{"cloud", "10.9.0.2:1"}, {"state", "10.9.0.1:1"}}},
+            {"params", params}};
+  for (int other = 0; other < World::kNodes; ++other)
+    if (other != node)
+      root["siblings"].push_back({{"host_name", "node-" + std::to_string(other)}, {"addr", "10.0.0.1:81"}});
+  return app::parse_settings(root.dump());
+}
+
+Json catalogue() {
+  return Json{{"flavors",
+               {{{"name", "small"}, {"cores", 4}, {"accelerators", 0}, {"ram_gb", 16}, {"local_gb", 30},
+                 {"pull_gb_per_s", 1.0}, {"rate", 0.4}, {"low_price", 0.1}, {"boot_s", 8}, {"rack_rooms", kZones}},
+                {{"name", "large"}, {"cores", 16}, {"accelerators", 0}, {"ram_gb", 64}, {"local_gb", 60},
+                 {"pull_gb_per_s", 1.0}, {"rate", 1.5}, {"low_price", 0.4}, {"boot_s", 10}, {"rack_rooms", {"za"}}}}}};
+}
+
+const wire::Amounts& size_of(const std::string& flavor) {
+  static const wire::Amounts small{4, 0, 16};
+  static const wire::Amounts large{16, 0, 64};
+  return flavor == "small" ? small : large;
+}
+
+std::string node_name(int node) { return "node-" + std::to_string(node); }
+}  // namespace
+
+// ---- loop
+
+double SimLoop::now() const { return world_.now() * drift_ + 1000; }
+double SimLoop::wall() const { return kWall + world_.now(); }
+void SimLoop::post(std::function<void()> work) {
+  world_.at(world_.now(), [alive = alive_, work = std::move(work)] {
+    if (*alive) work();
+  });
+}
+runtime::Timer SimLoop::after(double seconds, std::function<void()> work) {
+  auto armed = std::make_shared<std::function<void()>>(std::move(work));
+  world_.at(world_.now() + std::max(0.0, seconds) / drift_,
+            [alive = alive_, weak = std::weak_ptr<std::function<void()>>(armed)] {
+              const auto held = weak.lock();
+              if (*alive && held) {
+                auto run = std::move(*held);
+                run();
+              }
+            });
+  return armed;
+}
+
+// ---- ports of a controller
+
+class SimClient final : public net::Client {
+ public:
+  SimClient(World& world, int node, SimLoop& loop) : world_(world), node_(node), loop_(loop) {}
+  void send(const std::string& address, Request request, double timeout_s, net::Reply reply) override {
+    auto once = std::make_shared<net::Reply>(std::move(reply));
+    auto answer = [once, alive = loop_.alive()](Response response) {
+      if (!*alive || !*once) return;
+      auto run = std::exchange(*once, nullptr);
+      run(std::move(response));
+    };
+    world_.at(world_.now() + timeout_s, [answer] { answer({}); });
+    world_.http(node_, address, std::move(request), answer);
+  }
+
+ private:
+  World& world_;
+  int node_;
+  SimLoop& loop_;
+};
+
+class SimPeers final : public net::PeerPort {
+ public:
+  SimPeers(World& world, int node) : world_(world), node_(node) {}
+  bool send(const std::string& node, const wire::Frame& frame) override;
+  void listen(std::function<void(const std::string&, wire::Frame)> receiver) override { receiver_ = std::move(receiver); }
+  void receive(const std::string& from, const std::string& bytes) {
+    wire::FrameReader reader;
+    reader.append(bytes);
+    while (auto frame = reader.next()) receiver_(from, std::move(*frame));
+  }
+
+ private:
+  World& world_;
+  int node_;
+  std::function<void(const std::string&, wire::Frame)> receiver_;
+};
+
+struct World::Controller {
+  Controller(World& world, int index, std::uint64_t seed)
+      : loop(world, 1 + (static_cast<int>(seed % 3) - 1) * 0.0005, seed),
+        client(world, index, loop),
+        peers(world, index),
+        node(loop, runtime::make_log("sim", std::getenv("LOG_LEVEL") != nullptr ? std::getenv("LOG_LEVEL") : "off"),
+             site(index), seed >> 1, client, peers) {}
+  SimLoop loop;
+  SimClient client;
+  SimPeers peers;
+  app::Node node;
+};
+
+bool SimPeers::send(const std::string& node, const wire::Frame& frame) {
+  const int target = node.back() - '0';
+  if (!world_.nodes_[static_cast<std::size_t>(target)]) return false;
+  world_.carry(node_name(node_), node, world_.uniform(0.0002, 0.002),
+               [this_world = &world_, target, from = node_name(node_), bytes = wire::encode(frame)] {
+                 if (auto& there = this_world->nodes_[static_cast<std::size_t>(target)])
+                   there->peers.receive(from, bytes);
+               });
+  return true;
+}
+
+// ---- world
+
+World::World(std::uint64_t seed) : random_(seed), settings_(site(0)), nodes_(kNodes) {
+  for (int node = 0; node < kNodes; ++node) boot_node(node);
+}
+World::~World() = default;
+
+void World::at(double time, std::function<void()> work) { queue_.push({time, order_++, std::move(work)}); }
+
+void World::run(double until) {
+  while (!queue_.empty() && queue_.top().time <= until) {
+    auto work = std::move(const_cast<Event&>(queue_.top()).work);
+    now_ = std::max(now_, queue_.top().time);
+    queue_.pop();
+    expire_holds();
+    work();
+    ++steps_;
+    check_step();
+  }
+  now_ = until;
+}
+
+void World::boot_node(int node) {
+  auto& slot = nodes_[static_cast<std::size_t>(node)];
+  if (slot) return;
+  slot = std::make_unique<Controller>(*this, node, random_());
+  slot->node.start();
+}
+
+void World::crash(int node, double restart_after) {
+  nodes_[static_cast<std::size_t>(node)].reset();
+  at(now_ + restart_after, [this, node] { boot_node(node); });
+}
+
+int World::leaders() const {
+  return static_cast<int>(std::count_if(nodes_.begin(), nodes_.end(),
+                                        [](const auto& node) { return node && node->node.leading(); }));
+}
+
+void World::cut(const std::string& a, const std::string& b, double seconds, bool hold) {
+  links_[std::minmax(a, b)] = {now_ + seconds, hold};
+}
+
+const World::Link* World::link(const std::string& a, const std::string& b) const {
+  const auto found = links_.find(std::minmax(a, b));
+  return found != links_.end() && now_ < found->second.until ? &found->second : nullptr;
+}
+
+void World::carry(const std::string& from, const std::string& to, double latency, std::function<void()> deliver) {
+  const auto* cut = link(from, to);
+  if (cut == nullptr) return at(now_ + latency, std::move(deliver));
+  // Held packets come when the cut is over, even if the sender has given up.
+  if (cut->hold) at(cut->until + latency, std::move(deliver));
+}
+
+void World::http(int node, const std::string& address, Request request, net::Reply reply) {
+  const auto me = node_name(node);
+  const bool state = address == settings_.state;
+  const bool cloud = address == settings_.cloud;
+  const std::string peer = state ? "state" : cloud ? "cloud" : address;
+  const double latency = state ? (chance(0.02) ? 0.3 : uniform(0.001, 0.005)) : cloud ? uniform(0.05, 0.15) : 0.001;
+  auto back = [this, me, peer, latency, reply = std::move(reply)](Response response) {
+    carry(peer, me, latency, [reply, response = std::move(response)] { reply(response); });
+  };
+  carry(me, peer, latency, [this, node, state, cloud, address, request = std::move(request), back] {
+    if (state) {
+      bool answered = true;
+      auto response = state_call(node, request, back, answered);
+      if (answered) back(std::move(response));
+      return;
+    }
+    if (cloud) return back(cloud_call(request));
+    for (auto& [host, machine] : machines_) {
+      if (host != address || !machine.up || machine.dead) continue;
+      if (now_ >= machine.hung_until) return back(command(machine, request));
+      // A hanging machine executes what has arrived when it goes on.
+      return at(machine.hung_until + 0.01, [this, host = host, request, back] {
+        const auto found = machines_.find(host);
+        if (found != machines_.end() && !found->second.dead) back(command(found->second, request));
+      });
+    }
+  });
+}
+
+// ---- state service
+
+void World::drop_hold(std::uint64_t hold) {
+  holds_.erase(hold);
+  std::vector<std::string> gone;
+  for (const auto& [key, entry] : keys_)
+    if (entry.hold == hold) gone.push_back(key);
+  if (gone.empty()) return;
+  ++epoch_;
+  for (const auto& key : gone) {
+    keys_.erase(key);
+    history_.emplace_back(epoch_, Json{{"delete", key}, {"stamp", epoch_}});
+  }
+  state_changed();
+}
+
+void World::expire_holds() {
+  const bool down = now_ < state_down_until_;
+  if (down) {
+    state_was_down_ = true;
+    return;
+  }
+  if (std::exchange(state_was_down_, false))
+    for (auto& [hold, life] : holds_) life.second = now_ + life.first;
+  std::vector<std::uint64_t> over;
+  for (const auto& [hold, life] : holds_)
+    if (now_ > life.second) over.push_back(hold);
+  for (const auto hold : over) drop_hold(hold);
+}
+
+void World::state_changed() {
+  auto watchers = std::exchange(watchers_, {});
+  for (auto& watcher : watchers) at(now_, std::move(watcher));
+}
+
+Json World::news(std::uint64_t after) const {
+  Json list = Json::array();
+  for (const auto& [epoch, change] : history_)
+    if (epoch > after) list.push_back(change);
+  return Json{{"epoch", epoch_}, {"news", std::move(list)}};
+}
+
+Response World::commit(const Json& body) {
+  for (const auto& write : body["writes"])
+    if (write.contains("hold") && !holds_.contains(write["hold"].get<std::uint64_t>()))
+      return {400, R"({"error":"no such lease"})", std::nullopt};
+  Json failed = Json::array();
+  for (const auto& condition : body["when"]) {
+    const auto found = keys_.find(condition["k"].get<std::string>());
+    if ((found == keys_.end() ? 0 : found->second.stamp) != condition["stamp"].get<std::uint64_t>())
+      failed.push_back(condition["k"]);
+  }
+  if (!failed.empty()) return {409, Json{{"failed", failed}, {"epoch", epoch_}}.dump(), std::nullopt};
+  if (!body["writes"].empty()) {
+    ++epoch_;
+    for (const auto& write : body["writes"]) {
+      if (write.contains("write")) {
+        const auto key = write["write"].get<std::string>();
+        keys_[key] = {write["data"], epoch_, write.value("hold", std::uint64_t{0})};
+        history_.emplace_back(epoch_, Json{{"write", key}, {"data", write["data"]}, {"stamp", epoch_}});
+      } else {
+        const auto key = write["delete"].get<std::string>();
+        if (keys_.erase(key) > 0) history_.emplace_back(epoch_, Json{{"delete", key}, {"stamp", epoch_}});
+      }
+    }
+    state_changed();
+  }
+  return {200, Json{{"epoch", epoch_}}.dump(), std::nullopt};
+}
+
+Response World::state_call(int node, const Request& request, const net::Reply& later, bool& answered) {
+  const bool refused = refused_until_.contains(node) && now_ < refused_until_[node];
+  if (now_ < state_down_until_ || refused) return {503, "{}", std::nullopt};
+  if (chance(0.002)) {  // executed or not, but unanswered
+    answered = false;
+    if (request.path == "/commit" && chance(0.5)) {
+      const double late = chance(0.5) ? 0.0 : uniform(0.5, 15);
+      at(now_ + late, [this, body = Json::parse(request.body)] { commit(body); });
+    }
+    return {};
+  }
+  if (request.path == "/commit") return commit(Json::parse(request.body));
+  if (request.path == "/leases") {
+    const double ttl = Json::parse(request.body)["ttl_ms"].get<double>() / 1000;
+    const auto hold = next_hold_++;
+    holds_[hold] = {ttl, now_ + ttl};
+    return {200, Json{{"hold", hold}}.dump(), std::nullopt};
+  }
+  if (request.path.starts_with("/leases/")) {
+    const auto hold = std::stoull(request.path.substr(8));
+    if (request.method == Method::del) {
+      drop_hold(hold);
+      return {200, "{}", std::nullopt};
+    }
+    const auto found = holds_.find(hold);
+    if (found == holds_.end()) return {404, "{}", std::nullopt};
+    found->second.second = now_ + found->second.first;
+    return {200, "{}", std::nullopt};
+  }
+  if (request.path.starts_with("/watch")) {
+    const auto after = std::stoull(request.path.substr(request.path.find("after=") + 6));
+    const double block = std::stod(request.path.substr(request.path.find("block_ms=") + 9)) / 1000;
+    if (block == 0 || epoch_ > after) return {200, news(after).dump(), std::nullopt};
+    answered = false;
+    auto once = std::make_shared<bool>(false);
+    auto answer = [this, after, later, once, node] {
+      if (std::exchange(*once, true)) return;
+      // Open watches wait while the service is out or refuses the node.
+      const double until = std::max(state_down_until_, refused_until_.contains(node) ? refused_until_[node] : 0.0);
+      at(std::max(now_, until), [this, after, later] { later({200, news(after).dump(), std::nullopt}); });
+    };
+    watchers_.push_back(answer);
+    at(now_ + block, answer);
+    return {};
+  }
+  if (request.path.starts_with("/keys?")) {
+    Json items = Json::array();
+    for (const auto& [key, entry] : keys_)
+      items.push_back({{"k", key}, {"data", entry.data}, {"stamp", entry.stamp}});
+    return {200, Json{{"items", items}, {"has_next", false}, {"epoch", epoch_}}.dump(), std::nullopt};
+  }
+  const auto found = keys_.find(request.path.substr(6));
+  if (found == keys_.end()) return {404, Json{{"epoch", epoch_}}.dump(), std::nullopt};
+  return {200, Json{{"k", found->first}, {"data", found->second.data}, {"stamp", found->second.stamp}}.dump(),
+          std::nullopt};
+}
+
+// ---- cloud
+
+Response World::cloud_call(const Request& request) {
+  if (now_ < cloud_down_until_) return {503, R"({"error":"trouble"})", std::nullopt};
+  if (request.path == "/flavors") return {200, catalogue().dump(), std::nullopt};
+  if (request.path == "/machines") {
+    const auto body = Json::parse(request.body);
+    const auto name = body["rental"].get<std::string>();
+    if (!rentals_.contains(name)) {
+      const bool spot = body["reclaimable"].get<bool>();
+      const auto have = std::count_if(machines_.begin(), machines_.end(), [](const auto& m) { return !m.second.dead; });
+      int count = std::min<int>(body["count"].get<int>(), 14 - static_cast<int>(have));
+      if (spot && now_ < no_spot_until_) count = 0;
+      if (count <= 0) return {503, R"({"error":"no capacity"})", std::nullopt};
+      for (int i = 0; i < count; ++i) {
+        char host[16];
+        std::snprintf(host, sizeof host, "n-%06d", next_host_++);
+        SimMachine machine;
+        machine.host = host;
+        machine.flavor = body["flavor"].get<std::string>();
+        machine.zone = body["rack_room"].get<std::string>();
+        machine.spot = spot;
+        machine.born = now_;
+        machine.node = pick(kNodes);
+        machines_[host] = machine;
+        rentals_[name].push_back(host);
+        if (!chance(0.03)) at(now_ + uniform(2, 14), [this, h = std::string(host)] { boot_machine(h); });
+      }
+    }
+    return {200, Json{{"hosts", rentals_[name]}}.dump(), std::nullopt};
+  }
+  if (request.path == "/machines/release") {
+    for (const auto& host : Json::parse(request.body)["hosts"]) machines_.erase(host.get<std::string>());
+    return {200, "{}", std::nullopt};
+  }
+  Json hosts = Json::array();
+  for (const auto& [host, machine] : machines_)
+    if (now_ - machine.born > kListLag)
+      hosts.push_back({{"uid", host}, {"address", host}, {"flavor", machine.flavor}, {"rack_room", machine.zone},
+                       {"reclaimable", machine.spot}, {"phase", machine.dead ? "failed" : machine.up ? "running" : "booting"},
+                       {"held_s", now_ - machine.born}});
+  return {200, Json{{"hosts", hosts}, {"has_next", false}}.dump(), std::nullopt};
+}
+
+// ---- workers
+
+void World::boot_machine(const std::string& host) {
+  const auto found = machines_.find(host);
+  if (found == machines_.end() || found->second.dead) return;
+  found->second.up = true;
+  found->second.lease_from = now_;
+  machine_step(host);
+}
+
+void World::machine_step(const std::string& host) {
+  const auto found = machines_.find(host);
+  if (found == machines_.end() || found->second.dead) return;
+  auto& machine = found->second;
+  at(now_ + 0.25, [this, host] { machine_step(host); });
+  if (machine.taken_at > 0 && now_ >= machine.taken_at) {
+    machines_.erase(found);
+    return;
+  }
+  if (now_ < machine.hung_until) return;
+  if (now_ - machine.lease_from > settings_.lease_s) {
+    machine.tasks.clear();
+    ++machine.tenure;
+    machine.lease_from = now_;
+    machine.in_flight = false;
+    machine.report_wanted = true;
+  }
+  const bool due = now_ - machine.last_report >= settings_.report_s || machine.report_wanted;
+  if (!machine.in_flight && due && now_ - machine.last_report >= 0.5) send_report(machine);
+}
+
+void World::want_report(SimMachine& machine) { machine.report_wanted = true; }
+
+wire::Report World::report_of(const SimMachine& machine) const {
+  wire::Report report;
+  report.host = {machine.host};
+  report.address = machine.host;
+  report.flavor = machine.flavor;
+  report.rack_room = machine.zone;
+  report.reclaimable = machine.spot;
+  report.tenure = {machine.tenure};
+  report.counter = machine.counter;
+  report.fence = {machine.fence};
+  if (machine.taken_at > 0) report.warning_s = std::max(0.0, machine.taken_at - now_);
+  for (const auto& [member, task] : machine.tasks)
+    report.members.push_back({member, task.try_no, task.phase, task.cause, false});
+  return report;
+}
+
+void World::send_report(SimMachine& machine) {
+  machine.in_flight = true;
+  machine.report_wanted = false;
+  machine.last_report = now_;
+  ++machine.counter;
+  const auto exchange = ++machine.exchange;
+  const auto tenure = machine.tenure;
+  const double sent = now_;
+  const int node = machine.node;
+  const auto zone = "workers-" + machine.zone;
+  Request request{Method::post, "/v1/report", to_json(report_of(machine)).dump()};
+  auto next_node = [this, host = machine.host, exchange] {
+    const auto found = machines_.find(host);
+    if (found == machines_.end() || found->second.exchange != exchange) return;
+    found->second.in_flight = false;
+    found->second.node = (found->second.node + 1) % kNodes;
+    found->second.last_report = now_;  // 1 s later, see below
+    found->second.report_wanted = true;
+  };
+  at(now_ + kReportDrop, [this, host = machine.host, exchange, next_node] {
+    const auto found = machines_.find(host);
+    if (found != machines_.end() && found->second.exchange == exchange && found->second.in_flight) next_node();
+  });
+  auto receive = [this, host = machine.host, exchange, tenure, sent, next_node](const Response& response) {
+    const auto found = machines_.find(host);
+    if (found == machines_.end() || found->second.dead || now_ < found->second.hung_until) return;
+    auto& worker = found->second;
+    if (worker.exchange != exchange || !worker.in_flight || worker.tenure != tenure) return;
+    if (response.status == 421) {
+      const auto body = Json::parse(response.body);
+      if (!body.contains("controller")) return next_node();
+      const int target = body["controller"].get<std::string>().back() - '0';
+      if (target == worker.node) return next_node();
+      worker.node = target;
+      worker.in_flight = false;
+      worker.report_wanted = true;
+      return;
+    }
+    if (response.status != 200) return next_node();
+    worker.in_flight = false;
+    const auto body = Json::parse(response.body);
+    const auto fence = body["fence"].get<std::uint64_t>();
+    if (fence < worker.fence) return;
+    if (fence > worker.fence) want_report(worker);
+    worker.fence = fence;
+    worker.lease_from = std::max(worker.lease_from, sent);
+    execute(worker, wire::parse_orders(body["orders"]));
+  };
+  carry(zone, node_name(node), 0.002, [this, node, zone, request, receive] {
+    auto& there = nodes_[static_cast<std::size_t>(node)];
+    if (!there) return receive({});
+    there->node.handle(request, [this, zone, node, receive](const Response& response) {
+      carry(node_name(node), zone, 0.002, [receive, response] { receive(response); });
+    });
+  });
+}
+
+Response World::command(SimMachine& machine, const Request& request) {
+  const auto body = Json::parse(request.body);
+  const auto fence = body["fence"].get<std::uint64_t>();
+  ++machine.counter;
+  if (fence < machine.fence || body["tenure"].get<std::uint64_t>() != machine.tenure)
+    return {409, to_json(report_of(machine)).dump(), std::nullopt};
+  if (fence > machine.fence) want_report(machine);
+  machine.fence = fence;
+  execute(machine, wire::parse_orders(body["orders"]));
+  return {200, to_json(report_of(machine)).dump(), std::nullopt};
+}
+
+void World::execute(SimMachine& machine, const std::vector<wire::Order>& orders) {
+  for (const auto& order : orders) {
+    const auto found = machine.tasks.find(order.member);
+    if (order.verb == wire::Verb::start) {
+      start(machine, order.member, order.try_no);
+    } else if (found == machine.tasks.end() || found->second.try_no != order.try_no) {
+      continue;
+    } else if (order.verb == wire::Verb::stop) {
+      if (found->second.phase == MemberPhase::exited) continue;
+      found->second.phase = MemberPhase::exited;
+      found->second.cause = ExitCause::halted;
+      want_report(machine);
+    } else if (found->second.phase == MemberPhase::exited) {
+      machine.tasks.erase(found);
+    }
+  }
+}
+
+void World::start(SimMachine& machine, const MemberId& member, wire::TryNo try_no) {
+  want_report(machine);
+  const auto found = machine.tasks.find(member);
+  if (found != machine.tasks.end() && found->second.try_no == try_no) return;
+  SimTask task{try_no, MemberPhase::pulling, ExitCause::none, 0};
+  const auto job = jobs_.find(member.job.value);
+  if (found != machine.tasks.end() && found->second.phase != MemberPhase::exited) return;  // busy
+  wire::Amounts used;
+  for (const auto& [other, running] : machine.tasks)
+    if (running.phase != MemberPhase::exited) used += jobs_.at(other.job.value).spec.need;
+  if (job == jobs_.end()) {
+    task.phase = MemberPhase::exited;
+    task.cause = ExitCause::no_such;
+  } else {
+    used += job->second.spec.need;
+    if (!used.fits(size_of(machine.flavor))) {
+      task.phase = MemberPhase::exited;
+      task.cause = ExitCause::no_room;
+    }
+  }
+  machine.tasks[member] = task;
+  if (task.phase == MemberPhase::exited) return;
+  const bool cached = !machine.images.insert(job->second.spec.bundle).second;
+  at(now_ + (cached ? 0.05 : 1.5), [this, host = machine.host, member, try_no] { image_ready(host, member, try_no.value); });
+}
+
+void World::image_ready(const std::string& host, const MemberId& member, std::uint64_t try_no) {
+  const auto found = machines_.find(host);
+  if (found == machines_.end() || found->second.dead) return;
+  auto& machine = found->second;
+  if (now_ < machine.hung_until)
+    return at(machine.hung_until + 0.001, [this, host, member, try_no] { image_ready(host, member, try_no); });
+  const auto task = machine.tasks.find(member);
+  if (task == machine.tasks.end() || task->second.try_no.value != try_no || task->second.phase != MemberPhase::pulling)
+    return;
+  if (now_ - machine.lease_from > settings_.lease_s) return;  // its session is over
+  auto& job = jobs_.at(member.job.value);
+  task->second.phase = MemberPhase::running;
+  ++starts_;
+  check_start(machine, member);
+  want_report(machine);
+  if (job.spec.shape == wire::Shape::daemon) return;
+  const double run = job.completed.contains(member.index) ? 0.01 : machine.sick || job.broken ? 0.5 : job.run_s;
+  at(now_ + run, [this, host, member, try_no] { task_ended(host, member, try_no); });
+}
+
+void World::task_ended(const std::string& host, const MemberId& member, std::uint64_t try_no) {
+  const auto found = machines_.find(host);
+  if (found == machines_.end() || found->second.dead) return;
+  auto& machine = found->second;
+  if (now_ < machine.hung_until)
+    return at(machine.hung_until + 0.3, [this, host, member, try_no] { task_ended(host, member, try_no); });
+  const auto task = machine.tasks.find(member);
+  if (task == machine.tasks.end() || task->second.try_no.value != try_no || task->second.phase != MemberPhase::running)
+    return;
+  auto& job = jobs_.at(member.job.value);
+  const bool fails = (machine.sick || job.broken) && !job.completed.contains(member.index);
+  task->second.phase = MemberPhase::exited;
+  task->second.cause = fails ? ExitCause::error : ExitCause::done;
+  if (!fails) job.completed.insert(member.index);
+  want_report(machine);
+}
+
+// ---- users
+
+void World::user_call(const std::string&, Request request, double timeout, std::function<void(Response)> done) {
+  auto once = std::make_shared<bool>(false);
+  auto answer = [once, done = std::move(done)](const Response& response) {
+    if (!std::exchange(*once, true)) done(response);
+  };
+  at(now_ + timeout, [answer] { answer({}); });
+  const int node = pick(kNodes);
+  at(now_ + 0.002, [this, node, request = std::move(request), answer] {
+    auto& there = nodes_[static_cast<std::size_t>(node)];
+    if (!there) return answer({});
+    there->node.handle(request, [this, answer](const Response& response) {
+      at(now_ + 0.002, [answer, response] { answer(response); });
+    });
+  });
+}
+
+void World::submit_random() {
+  SimJob job;
+  auto& spec = job.spec;
+  spec.queue = "any";
+  spec.owner = chance(0.5) ? "red" : "blue";
+  spec.shape = chance(0.25) ? wire::Shape::daemon : wire::Shape::sweep;
+  spec.rank = static_cast<wire::Rank>(pick(4));
+  spec.members = static_cast<std::uint32_t>(spec.shape == wire::Shape::daemon ? 1 + pick(2) : 1 + pick(8));
+  spec.need = {1.0 + pick(4), 0, 2.0 + pick(4)};
+  if (chance(0.15)) spec.flavors = std::vector<std::string>{"small"};
+  if (chance(0.15)) spec.rack_room = kZones[static_cast<std::size_t>(pick(2))];
+  if (!spec.rack_room && chance(0.15)) (chance(0.5) ? spec.together : spec.scatter) = true;
+  spec.reclaimable = spec.shape == wire::Shape::sweep && chance(0.7);
+  spec.bundle = chance(0.5) ? "img-1" : "img-2";
+  spec.size_gb = 1.5;
+  job.run_s = uniform(2, 15);
+  spec.guess_s = job.run_s * uniform(0.6, 1.4);
+  if (chance(0.4)) spec.due_s = spec.guess_s * 3;
+  job.broken = chance(0.03);
+  submit(std::move(job));
+}
+
+void World::submit(SimJob job) {
+  char uid[24];
+  std::snprintf(uid, sizeof uid, "job-%06d", next_job_++);
+  job.spec.uid = {uid};
+  job.created = now_;
+  job.submitted = true;
+  const bool cancelled = job.spec.shape == wire::Shape::daemon || job.broken || chance(0.15);
+  jobs_[uid] = std::move(job);
+  user_submit(uid);
+  if (cancelled) at(now_ + uniform(1, 60), [this, u = std::string(uid)] { user_cancel(u); });
+}
+
+void World::user_submit(const std::string& uid) {
+  auto& job = jobs_.at(uid);
+  user_call(uid, {Method::post, "/submissions", to_json(job.spec).dump()}, 5, [this, uid](const Response& response) {
+    auto& mine = jobs_.at(uid);
+    if (response.status == 200 || response.status == 201) {
+      const bool first = !std::exchange(mine.accepted, true);
+      check_phase(mine, response);
+      if (first) user_poll(uid);
+      return;
+    }
+    if (response.status == 400 || response.status == 422) {
+      violate("forgotten", uid + " refused: " + response.body);
+      return;
+    }
+    at(now_ + uniform(1, 2), [this, uid] { user_submit(uid); });
+  });
+}
+
+void World::check_phase(SimJob& job, const Response& response) {
+  const auto phase = Json::parse(response.body)["phase"].get<std::string>();
+  const auto& uid = job.spec.uid.value;
+  if (job.told_done && phase != "done") violate("went_back", uid + " was done, now " + phase);
+  if (job.told_cancelled > 0 && phase != "cancelled") violate("went_back", uid + " was cancelled, now " + phase);
+  if (phase == "cancelled") {
+    if (!job.cancel_asked) violate("went_back", uid + " cancelled by nobody");
+    if (job.told_cancelled == 0) job.told_cancelled = now_;
+  }
+  if (phase == "done") {
+    job.told_done = true;
+    if (job.completed.size() < job.spec.members) violate("not_done", uid);
+  }
+}
+
+void World::user_poll(const std::string& uid) {
+  // Answers may overtake one another: what counts is what was told before the request was sent.
+  user_call(uid, {Method::get, "/submissions/" + uid, ""}, 2, [this, uid](const Response& response) {
+    auto& job = jobs_.at(uid);
+    if (response.status == 200) check_phase(job, response);
+    if (response.status == 404) violate("forgotten", uid + " answered 404");
+  });
+  const auto& job = jobs_.at(uid);
+  const bool over = job.told_done || job.told_cancelled > 0;
+  at(now_ + (over ? uniform(10, 40) : uniform(2.5, 5)), [this, uid] { user_poll(uid); });
+}
+
+void World::user_cancel(const std::string& uid) {
+  auto& job = jobs_.at(uid);
+  if (!job.accepted) return at(now_ + 2, [this, uid] { user_cancel(uid); });
+  job.cancel_asked = true;
+  user_call(uid, {Method::post, "/submissions/" + uid + "/withdraw", "{}"}, 5, [this, uid](const Response& response) {
+    auto& mine = jobs_.at(uid);
+    if (response.status == 200) return check_phase(mine, response);
+    at(now_ + 1, [this, uid] { user_cancel(uid); });
+  });
+}
+
+void World::ask_unknown() {
+  user_call("", {Method::get, "/submissions/job-9" + std::to_string(pick(99999)), ""}, 2, [this](const Response& response) {
+    if (response.status == 200) violate("invented", response.body);
+  });
+}
+
+// ---- faults
+
+void World::kill_machine() {
+  for (auto& [host, machine] : machines_)
+    if (machine.up && !machine.dead && chance(0.3)) {
+      machine.dead = true;
+      return;
+    }
+}
+void World::hang_machine(double seconds) {
+  for (auto& [host, machine] : machines_)
+    if (machine.up && !machine.dead && chance(0.3)) {
+      machine.hung_until = now_ + seconds;
+      return;
+    }
+}
+void World::sicken_machine() {
+  for (auto& [host, machine] : machines_)
+    if (machine.up && !machine.dead && chance(0.3)) {
+      machine.sick = true;
+      return;
+    }
+}
+void World::reclaim_wave(double share, double notice) {
+  for (auto& [host, machine] : machines_)
+    if (machine.spot && machine.up && !machine.dead && chance(share)) {
+      machine.taken_at = now_ + std::max(0.01, notice * uniform(0.5, 1.5));
+      want_report(machine);
+    }
+}
+
+void World::random_fault() {
+  const double length = uniform(2, 30);
+  const bool hold = chance(0.5);
+  const auto node = node_name(pick(kNodes));
+  switch (pick(15)) {
+    case 0:
+    case 1:
+      return crash(pick(kNodes), uniform(0.5, 6));
+    case 2:
+      for (int i = 0; i < kNodes; ++i) crash(i, uniform(1, 4));
+      return;
+    case 3:
+      return state_outage(length);
+    case 4:
+      return refuse(pick(kNodes), length);
+    case 5:
+      return cloud_outage(length * 1.5);
+    case 6:
+      return cut(node, "state", length, hold);
+    case 7:
+      return cut(node, "workers-" + kZones[static_cast<std::size_t>(pick(2))], length, hold);
+    case 8:
+      for (const auto& [host, machine] : machines_)
+        if (chance(0.4)) cut(node, host, length, hold);
+      return;
+    case 9:
+      return cut(node, node_name(pick(kNodes)), length, hold);
+    case 10:
+      return kill_machine();
+    case 11:
+      // Just short of the lease, and longer than it.
+      return hang_machine(settings_.lease_s * uniform(0.3, 1.6));
+    case 12:
+      return sicken_machine();
+    case 13:
+      spot_stockout(length * 2);
+      return reclaim_wave(uniform(0.3, 1), chance(0.3) ? 0 : uniform(1, 12));
+    default:
+      return cut(node, "cloud", length, hold);
+  }
+}
+
+void World::heal() {
+  for (auto& [ends, cut] : links_) cut.until = std::min(cut.until, now_);
+  state_down_until_ = std::min(state_down_until_, now_);
+  cloud_down_until_ = std::min(cloud_down_until_, now_);
+  no_spot_until_ = std::min(no_spot_until_, now_);
+  for (auto& [node, until] : refused_until_) until = std::min(until, now_);
+}
+
+void World::force_start(const MemberId& member, std::size_t index) {
+  auto machine = machines_.begin();
+  std::advance(machine, static_cast<std::ptrdiff_t>(index));
+  machine->second.up = true;
+  start(machine->second, member, wire::TryNo{1});
+}
+
+// ---- rules
+
+void World::violate(const std::string& rule, const std::string& what) {
+  broken_.push_back(rule + " at " + std::to_string(now_) + ": " + what);
+}
+
+void World::check_start(const SimMachine& machine, const MemberId& member) {
+  const auto& job = jobs_.at(member.job.value);
+  const auto& spec = job.spec;
+  std::map<std::string, double> cores;
+  std::map<std::string, std::uint32_t> zones;
+  for (const auto& [host, other] : machines_) {
+    for (const auto& [task, state] : other.tasks) {
+      if (!other.on(task)) continue;
+      const auto& its = jobs_.at(task.job.value).spec;
+      cores[its.owner] += its.need.cores;
+      if (task.job == member.job) ++zones[other.zone];
+      if (task == member && host != machine.host)
+        violate("ran_twice", member.text() + " on " + host + " and " + machine.host);
+    }
+  }
+  for (const auto& team : settings_.teams)
+    if (cores[team.name] > team.limit.cores + 1e-6) violate("quota", team.name + " at " + member.text());
+  if (spec.flavors && std::find(spec.flavors->begin(), spec.flavors->end(), machine.flavor) == spec.flavors->end())
+    violate("wrong_place", member.text() + " on flavor " + machine.flavor);
+  if (spec.rack_room && *spec.rack_room != machine.zone) violate("wrong_place", member.text() + " in " + machine.zone);
+  if (!spec.reclaimable && machine.spot) violate("wrong_place", member.text() + " on spot");
+  if (spec.together && zones.size() > 1) violate("wrong_place", member.text() + " not together");
+  if (spec.scatter && zones[machine.zone] > (spec.members + 1) / 2) violate("wrong_place", member.text() + " not scattered");
+}
+
+void World::check_step() {
+  if (steps_ % 64 == 0 && chance(0.05)) ask_unknown();
+  for (const auto& [host, machine] : machines_) {
+    if (!machine.up || machine.dead) continue;
+    for (const auto& [member, task] : machine.tasks) {
+      const auto& job = jobs_.at(member.job.value);
+      if (job.told_cancelled > 0 && now_ > job.told_cancelled + settings_.cancel_s && machine.on(member) &&
+          now_ - machine.lease_from <= settings_.lease_s)
+        violate("ran_cancelled", member.text() + " on " + host);
+    }
+  }
+}
+
+}  // namespace bankhill::sim
--- /dev/null
+++ b/tests/sim/world.hpp
@@ -0,0 +1,226 @@
+// A simulated site: several controllers with stand-ins for state service, cloud, workers, users and the
+// network between them. Everything random comes from one seed; the rules are checked after each step.
+#pragma once
+
+#include <functional>
+#include <map>
+#include <memory>
+#include <optional>
+#include <queue>
+#include <random>
+#include <set>
+#include <string>
+#include <vector>
+
+#include "app/node.hpp"
+#include "app/settings.hpp"
+
+namespace bankhill::sim {
+
+class World;
+
+// Clock, timers and posts of one controller; all stop when the controller does.
+class SimLoop final : public runtime::Loop {
+ public:
+  SimLoop(World& world, double drift, std::uint64_t seed) : world_(world), drift_(drift), random_(seed) {}
+  ~SimLoop() override { *alive_ = false; }
+  double now() const override;
+  double wall() const override;
+  void post(std::function<void()> work) override;
+  runtime::Timer after(double seconds, std::function<void()> work) override;
+  std::mt19937_64& random() override { return random_; }
+  std::shared_ptr<bool> alive() const { return alive_; }
+
+ private:
+  World& world_;
+  double drift_;
+  std::mt19937_64 random_;
+  std::shared_ptr<bool> alive_ = std::make_shared<bool>(true);
+};
+
+struct SimTask {
+  wire::TryNo try_no;
+  wire::MemberPhase phase = wire::MemberPhase::pulling;
+  wire::ExitCause cause = wire::ExitCause::none;
+  double ends = 0;
+};
+
+struct SimMachine {
+  std::string host;
+  std::string flavor;
+  std::string zone;
+  bool spot = false;
+  bool up = false;
+  bool dead = false;
+  double born = 0;
+  double hung_until = 0;
+  double taken_at = 0;  // 0: not warned
+  bool sick = false;
+  std::uint64_t tenure = 1;
+  std::uint64_t counter = 0;
+  std::uint64_t fence = 0;
+  double lease_from = 0;
+  int node = 0;  // reports to
+  bool in_flight = false;
+  bool report_wanted = false;
+  double last_report = -1;
+  std::uint64_t exchange = 0;
+  std::map<wire::MemberId, SimTask> tasks;
+  std::set<std::string> images;
+  bool on(const wire::MemberId& member) const {
+    const auto found = tasks.find(member);
+    return up && !dead && found != tasks.end() &&
+           (found->second.phase == wire::MemberPhase::running || found->second.phase == wire::MemberPhase::flushing);
+  }
+};
+
+struct SimJob {
+  wire::JobSpec spec;
+  double run_s = 0;
+  bool submitted = false;
+  bool accepted = false;
+  bool cancel_asked = false;
+  bool cancel_started = false;
+  bool told_done = false;
+  double told_cancelled = 0;  // 0: not
+  double created = 0;
+  bool broken = false;  // fails everywhere
+  std::set<std::uint32_t> completed;
+};
+
+struct StateKey {
+  wire::Json data;
+  std::uint64_t stamp = 0;
+  std::uint64_t hold = 0;
+};
+
+class World {
+ public:
+  explicit World(std::uint64_t seed);
+  ~World();
+
+  double now() const { return now_; }
+  void at(double time, std::function<void()> work);
+  void run(double until);
+
+  // Faults.
+  void crash(int node, double restart_after);
+  void cut(const std::string& a, const std::string& b, double seconds, bool hold);
+  void state_outage(double seconds) { state_down_until_ = now_ + seconds; }
+  void refuse(int node, double seconds) { refused_until_[node] = now_ + seconds; }
+  void cloud_outage(double seconds) { cloud_down_until_ = now_ + seconds; }
+  void kill_machine();
+  void hang_machine(double seconds);
+  void sicken_machine();
+  void reclaim_wave(double share, double notice);
+  void spot_stockout(double seconds) { no_spot_until_ = now_ + seconds; }
+  void random_fault();
+  void heal();
+
+  // Users.
+  void submit_random();
+  void submit(SimJob job);
+
+  // For the tests of the checker itself.
+  void force_start(const wire::MemberId& member, std::size_t machine);
+  std::vector<std::string>& broken() { return broken_; }
+  std::map<std::string, SimMachine>& machines() { return machines_; }
+  std::map<std::string, SimJob>& jobs() { return jobs_; }
+  std::mt19937_64& random() { return random_; }
+  double uniform(double a, double b) { return std::uniform_real_distribution<double>(a, b)(random_); }
+  int pick(int n) { return std::uniform_int_distribution<int>(0, n - 1)(random_); }
+  bool chance(double p) { return uniform(0, 1) < p; }
+  int leaders() const;
+  std::uint64_t steps() const { return steps_; }
+  std::uint64_t starts() const { return starts_; }
+
+  static constexpr int kNodes = 3;
+
+ private:
+  friend class SimLoop;
+  friend class SimClient;
+  friend class SimPeers;
+
+  struct Event {
+    double time;
+    std::uint64_t order;
+    std::function<void()> work;
+    bool operator>(const Event& other) const {
+      return std::tie(time, order) > std::tie(other.time, other.order);
+    }
+  };
+  struct Controller;
+  struct Link {
+    double until = 0;
+    bool hold = false;
+  };
+
+  void boot_node(int node);
+  // Carries a message; it arrives late or never when the link is cut.
+  void carry(const std::string& from, const std::string& to, double latency, std::function<void()> deliver);
+  const Link* link(const std::string& a, const std::string& b) const;
+  void http(int node, const std::string& address, net::Request request, net::Reply reply);
+
+  net::Response state_call(int node, const net::Request& request, const net::Reply& later, bool& answered);
+  net::Response commit(const wire::Json& body);
+  void state_changed();
+  wire::Json news(std::uint64_t after) const;
+  void expire_holds();
+  void drop_hold(std::uint64_t hold);
+
+  net::Response cloud_call(const net::Request& request);
+
+  void boot_machine(const std::string& host);
+  void machine_step(const std::string& host);
+  wire::Report report_of(const SimMachine& machine) const;
+  void execute(SimMachine& machine, const std::vector<wire::Order>& orders);
+  void start(SimMachine& machine, const wire::MemberId& member, wire::TryNo try_no);
+  void image_ready(const std::string& host, const wire::MemberId& member, std::uint64_t try_no);
+  void task_ended(const std::string& host, const wire::MemberId& member, std::uint64_t try_no);
+  void want_report(SimMachine& machine);
+  void send_report(SimMachine& machine);
+  net::Response command(SimMachine& machine, const net::Request& request);
+
+  void user_call(const std::string& uid, net::Request request, double timeout,
+                 std::function<void(net::Response)> done);
+  void user_submit(const std::string& uid);
+  void user_poll(const std::string& uid);
+  void user_cancel(const std::string& uid);
+  void ask_unknown();
+  void check_phase(SimJob& job, const net::Response& response);
+
+  void violate(const std::string& rule, const std::string& what);
+  void check_start(const SimMachine& machine, const wire::MemberId& member);
+  void check_step();
+
+  double now_ = 0;
+  std::uint64_t order_ = 0;
+  std::uint64_t steps_ = 0;
+  std::uint64_t starts_ = 0;
+  std::priority_queue<Event, std::vector<Event>, std::greater<>> queue_;
+  std::mt19937_64 random_;
+  app::Settings settings_;
+  std::vector<std::unique_ptr<Controller>> nodes_;
+  std::map<std::pair<std::string, std::string>, Link> links_;
+
+  std::map<std::string, StateKey> keys_;
+  std::vector<std::pair<std::uint64_t, wire::Json>> history_;
+  std::uint64_t epoch_ = 0;
+  std::uint64_t next_hold_ = 1;
+  std::map<std::uint64_t, std::pair<double, double>> holds_;  // ttl, ends
+  std::vector<std::function<void()>> watchers_;
+  double state_down_until_ = 0;
+  bool state_was_down_ = false;
+  std::map<int, double> refused_until_;
+
+  double cloud_down_until_ = 0;
+  double no_spot_until_ = 0;
+  std::map<std::string, std::vector<std::string>> rentals_;
+  int next_host_ = 0;
+  int next_job_ = 0;
+  std::map<std::string, SimMachine> machines_;
+  std::map<std::string, SimJob> jobs_;
+  std::vector<std::string> broken_;
+};
+
+}  // namespace bankhill::sim
--- /dev/null
+++ b/tests/wire_test.cpp
@@ -0,0 +1,149 @@
+// Messages, records and frames: round trips and hostile input.
+#include <gtest/gtest.h>
+
+#include <random>
+
+#include "wire/frames.hpp"
+#include "wire/messages.hpp"
+#include "wire/records.hpp"
+
+namespace bankhill::wire {
+namespace {
+
+Json job() {
+  return Json::parse(R"({"uid":"job-000412","queue":"train","owner":"vision","shape":"sweep","rank":"high",
+    "members":16,"cores":8.0,"accelerators":1.0,"ram_gb":64.0,"bundle":"img-07","size_gb":6.2,"flavors":["g8"],
+    "rack_room":null,"together":true,"scatter":false,"reclaimable":true,"guess_s":240.0,"snapshot_every_s":30.0,
+    "flush_s":4.0,"due_s":900.0})");
+}
+
+TEST(Job, RoundTrip) {
+  const auto spec = parse_job(job());
+  EXPECT_EQ(spec.members, 16U);
+  EXPECT_EQ(spec.rank, Rank::high);
+  EXPECT_FALSE(spec.rack_room);
+  EXPECT_EQ(to_json(parse_job(to_json(spec))), to_json(spec));
+}
+
+TEST(Job, IgnoresUnknownFields) {
+  auto object = job();
+  object["colour"] = "blue";
+  EXPECT_NO_THROW(parse_job(object));
+}
+
+TEST(Job, RefusesEachFieldThatIsMissingOrOfAnotherType) {
+  const std::set<std::string> optional = {"flavors", "rack_room", "due_s"};
+  for (const auto& [name, value] : job().items()) {
+    auto without = job();
+    without.erase(name);
+    if (optional.contains(name))
+      EXPECT_NO_THROW(parse_job(without)) << name;
+    else
+      EXPECT_THROW(parse_job(without), Malformed) << name;
+    auto wrong = job();
+    wrong[name] = Json::object();
+    EXPECT_THROW(parse_job(wrong), Malformed) << name;
+  }
+}
+
+TEST(Job, RefusesValuesOutOfRange) {
+  const std::vector<std::pair<const char*, Json>> bad = {
+      {"uid", "job-"},      {"uid", "job-12a"},     {"uid", "task-1"},  {"members", 0},       {"members", 100001},
+      {"members", -1},      {"members", 2.5},       {"cores", -1.0},    {"cores", 0},         {"cores", 1e300},
+      {"ram_gb", -0.5},     {"guess_s", -1},        {"due_s", -1},      {"shape", "gang"},    {"rank", "urgent"},
+      {"flavors", {1, 2}},  {"together", 1},        {"size_gb", "big"}, {"uid", "job-1/2"},   {"bundle", ""}};
+  for (const auto& [name, value] : bad) {
+    auto object = job();
+    object[name] = value;
+    EXPECT_THROW(parse_job(object), Malformed) << name << " " << value;
+  }
+}
+
+TEST(Text, RefusesWhatIsNoObject) {
+  for (const auto* text : {"", "[1]", "7", "{\"a\":", "null", "\"x\"", "{} x"})
+    EXPECT_THROW(parse_object(text), Malformed) << text;
+}
+
+TEST(Report, RoundTrip) {
+  const auto text = R"({"host":"n-000231","address":"10.1.0.232:9000","flavor":"g8","rack_room":"a",
+    "reclaimable":true,"tenure":1,"counter":88,"fence":41,"warning_s":null,
+    "members":[{"member":"job-000412/3","try_no":2,"phase":"running"},
+               {"member":"job-000398/0","try_no":1,"phase":"exited","exit_cause":"done"}]})";
+  const auto report = parse_report(parse_object(text));
+  EXPECT_EQ(report.members.size(), 2U);
+  EXPECT_EQ(report.members[1].cause, ExitCause::done);
+  EXPECT_EQ(to_json(parse_report(to_json(report))), to_json(report));
+}
+
+TEST(Orders, RoundTrip) {
+  const std::vector<Order> orders = {{Verb::start, {JobId{"job-1"}, 4}, TryNo{2}, 0},
+                                     {Verb::stop, {JobId{"job-1"}, 5}, TryNo{1}, 10}};
+  EXPECT_EQ(to_json(parse_orders(to_json(orders))), to_json(orders));
+}
+
+TEST(Finished, BitsSurviveTheStore) {
+  std::mt19937 random(5);
+  std::vector<char> marks(kFinishedChunk * 2 + 77);
+  for (auto& mark : marks) mark = random() % 3 == 0 ? 2 : 0;
+  std::vector<char> read(marks.size(), 0);
+  for (std::uint32_t chunk = 0; chunk < 3; ++chunk)
+    for (const auto index : parse_finished_hex(finished_hex(marks, chunk, 2), chunk)) read.at(index) = 2;
+  EXPECT_EQ(read, marks);
+  EXPECT_THROW(parse_finished_hex("zz", 0), Malformed);
+}
+
+TEST(Records, RoundTrip) {
+  JobRecord record{parse_job(job()), JobPhase::cancelled, 12.5};
+  const auto read = parse_job_record(to_json(record));
+  EXPECT_EQ(read.phase, JobPhase::cancelled);
+  EXPECT_EQ(to_json(read), to_json(record));
+  RentalRecord rental{"g8", "a", true, 3, 1.5, std::vector<std::string>{"n-1", "n-2"}};
+  EXPECT_EQ(to_json(parse_rental_record(to_json(rental))), to_json(rental));
+}
+
+std::vector<Frame> frames() {
+  return {Hello{~0ULL >> 1, "node-1"}, Beat{41, true, false}, Call{7, true, "/submissions", std::string(5000, 'x')},
+          Answer{7, 201, 1500, "{}"}, Progress{3, 13, "job-000412", "no machine has room yet"}};
+}
+
+TEST(Frames, RoundTripInPiecesOfAnySize) {
+  std::string stream;
+  for (const auto& frame : frames()) stream += encode(frame);
+  for (std::size_t piece : {1U, 3U, 7U, 100000U}) {
+    FrameReader reader;
+    std::vector<Frame> read;
+    for (std::size_t at = 0; at < stream.size(); at += piece) {
+      reader.append(std::string_view(stream).substr(at, piece));
+      while (auto frame = reader.next()) read.push_back(std::move(*frame));
+    }
+    EXPECT_EQ(read, frames());
+    EXPECT_EQ(reader.error(), FrameError::none);
+  }
+}
+
+TEST(Frames, HostileBytesNeverReadBeyondTheFrame) {
+  std::mt19937 random(17);
+  int accepted = 0;
+  for (int round = 0; round < 20000; ++round) {
+    auto bytes = encode(frames()[round % 5]);
+    const int changes = 1 + static_cast<int>(random() % 4);
+    for (int i = 0; i < changes; ++i) bytes[random() % std::min<std::size_t>(bytes.size(), 40)] = static_cast<char>(random());
+    if (random() % 3 == 0) bytes.resize(random() % bytes.size());
+    FrameReader reader;
+    reader.append(bytes);
+    while (reader.next()) ++accepted;
+  }
+  EXPECT_GT(accepted, 0);  // some changes hit only values
+  FrameReader reader;
+  reader.append(std::string("\x42\x48\x01\x01\xff\xff\xff\xff", 8));
+  EXPECT_FALSE(reader.next());
+  EXPECT_EQ(reader.error(), FrameError::too_long);
+}
+
+TEST(Frames, FixedByteOrder) {
+  const auto bytes = encode(Beat{0x0102030405060708ULL, true, false});
+  EXPECT_EQ(bytes, std::string("\x42\x48\x01\x01\x00\x00\x00\x0a\x01\x02\x03\x04\x05\x06\x07\x08\x01\x00", 18));
+}
+
+}  // namespace
+}  // namespace bankhill::wire
