--- a/src/leader/fleet.cpp
+++ b/src/leader/fleet.cpp
@@ -303,7 +303,9 @@
         machine.draining = true;
         machine.drain_reason = "its lease ran out unheard";
       }
-      if (!machine.binds.empty()) {
+      // Once, and nothing is placed there until it is heard again: a task told to start in a session that
+      // is only assumed could run although its lease seems to have run out long ago.
+      if (!std::exchange(machine.lost, true)) {
         const wire::Tenure next{machine.tenure.value + 1};
         new_tenure(machine, next);
         machine.tenure = next;
--- a/src/leader/intents.cpp
+++ b/src/leader/intents.cpp
@@ -35,6 +35,12 @@
     const bool is_job = first->first.starts_with(wire::kJobs);
     const auto job = is_job ? jobs_.find(wire::JobId{first->first.substr(wire::kJobs.size())}) : jobs_.end();
     // Invariant 8: the job key's stamp decides between done and cancelled.
+    if (is_job && (job == jobs_.end() || !job->second.live())) {
+      // Wanted before the job was known to be cancelled: with the new stamp it would call it done.
+      auto dropped = intents_.extract(first);
+      for (auto& then : dropped.mapped().then) loop().post(guard(std::move(then)));
+      continue;
+    }
     const auto stamp = job != jobs_.end() ? job->second.stamp : view_.stamp(first->first);
     transaction.when.push_back({first->first, stamp});
     // A key that does not exist needs no deletion, but its condition must still hold.
@@ -42,6 +48,7 @@
       transaction.writes.push_back({first->first, first->second.data, std::nullopt});
     batch.insert(intents_.extract(first));
   }
+  if (batch.empty()) return;
   committing_ = true;
   const auto reign = first_term_;
   auto shared = std::make_shared<std::map<std::string, Intent>>(std::move(batch));
--- a/src/leader/reports.cpp
+++ b/src/leader/reports.cpp
@@ -89,6 +89,7 @@
   machine.counter = report.counter;
   machine.seen = std::max(machine.seen, report.fence);
   machine.last_contact = now;
+  machine.lost = false;
   if (!machine.confirmed && machine.seen.value >= first_term_) {
     // From here on nothing that an earlier leader ordered can take effect (invariant 5).
     machine.confirmed = true;
@@ -116,7 +117,7 @@
 }
 
 void Leader::new_tenure(Machine& machine, wire::Tenure tenure) {
-  log_->warn("machine {}: lease ran out, {} tasks are gone", machine.host.value, machine.binds.size());
+  log_->warn("machine {}: its lease ran out, its tasks are gone ({})", machine.host.value, machine.binds.size());
   std::vector<wire::MemberId> members;
   for (const auto& [member, bind] : machine.binds)
     if (bind.tenure < tenure) members.push_back(member);
--- a/src/model/machine.hpp
+++ b/src/model/machine.hpp
@@ -54,6 +54,7 @@
   bool recorded = false;   // its record is committed: it may hold tasks
   bool recording = false;
   bool confirmed = false;  // has seen a fence of this reign
+  bool lost = false;       // its lease has run out by our count and it was not heard since
   bool draining = false;   // takes no more tasks
   bool releasing = false;
   bool release_sent = false;
@@ -82,7 +83,7 @@
     free -= used;
     return free;
   }
-  bool takes_tasks() const { return up && recorded && confirmed && !draining && !releasing; }
+  bool takes_tasks() const { return up && recorded && confirmed && !lost && !draining && !releasing; }
 };
 
 }  // namespace bankhill::model
--- a/tests/sim/world.cpp
+++ b/tests/sim/world.cpp
@@ -1,5 +1,7 @@
 #include "sim/world.hpp"
 
+#include <spdlog/pattern_formatter.h>
+
 #include <algorithm>
 #include <cmath>
 #include <tuple>
@@ -56,6 +58,29 @@
 std::string node_name(int node) { return "node-" + std::to_string(node); }
 }  // namespace
 
+// Shows simulated time in the logs.
+class SimTime final : public spdlog::custom_flag_formatter {
+ public:
+  explicit SimTime(const World& world) : world_(world) {}
+  void format(const spdlog::details::log_msg&, const std::tm&, spdlog::memory_buf_t& out) override {
+    const auto text = std::to_string(world_.now());
+    out.append(text.data(), text.data() + text.size());
+  }
+  std::unique_ptr<custom_flag_formatter> clone() const override { return std::make_unique<SimTime>(world_); }
+
+ private:
+  const World& world_;
+};
+
+runtime::Log sim_log(const World& world, const std::string& name) {
+  const char* level = std::getenv("LOG_LEVEL");
+  auto log = runtime::make_log(name, level != nullptr ? level : "off");
+  auto formatter = std::make_unique<spdlog::pattern_formatter>();
+  formatter->add_flag<SimTime>('*', world).set_pattern("%* %n %l %v");
+  log->set_formatter(std::move(formatter));
+  return log;
+}
+
 // ---- loop
 
 double SimLoop::now() const { return world_.now() * drift_ + 1000; }
@@ -122,8 +147,7 @@
       : loop(world, 1 + (static_cast<int>(seed % 3) - 1) * 0.0005, seed),
         client(world, index, loop),
         peers(world, index),
-        node(loop, runtime::make_log("sim", std::getenv("LOG_LEVEL") != nullptr ? std::getenv("LOG_LEVEL") : "off"),
-             site(index), seed >> 1, client, peers) {}
+        node(loop, sim_log(world, node_name(index)), site(index), seed >> 1, client, peers) {}
   SimLoop loop;
   SimClient client;
   SimPeers peers;
@@ -143,7 +167,8 @@
 
 // ---- world
 
-World::World(std::uint64_t seed) : random_(seed), settings_(site(0)), nodes_(kNodes) {
+World::World(std::uint64_t seed)
+    : random_(seed), log_(sim_log(*this, "world")), settings_(site(0)), nodes_(kNodes) {
   for (int node = 0; node < kNodes; ++node) boot_node(node);
 }
 World::~World() = default;
@@ -384,7 +409,8 @@
     return {200, Json{{"hosts", rentals_[name]}}.dump(), std::nullopt};
   }
   if (request.path == "/machines/release") {
-    for (const auto& host : Json::parse(request.body)["hosts"]) machines_.erase(host.get<std::string>());
+    const auto body = Json::parse(request.body);
+    for (const auto& host : body["hosts"]) machines_.erase(host.get<std::string>());
     return {200, "{}", std::nullopt};
   }
   Json hosts = Json::array();
@@ -571,6 +597,7 @@
   auto& job = jobs_.at(member.job.value);
   task->second.phase = MemberPhase::running;
   ++starts_;
+  log_->debug("{} starts on {}", member.text(), host);
   check_start(machine, member);
   want_report(machine);
   if (job.spec.shape == wire::Shape::daemon) return;
@@ -744,7 +771,9 @@
   const double length = uniform(2, 30);
   const bool hold = chance(0.5);
   const auto node = node_name(pick(kNodes));
-  switch (pick(15)) {
+  const int kind = pick(15);
+  log_->info("fault {} for {} s, {}, {}", kind, length, node, hold ? "packets held" : "packets lost");
+  switch (kind) {
     case 0:
     case 1:
       return crash(pick(kNodes), uniform(0.5, 6));
@@ -800,6 +829,7 @@
 // ---- rules
 
 void World::violate(const std::string& rule, const std::string& what) {
+  log_->error("BROKEN {}: {}", rule, what);
   broken_.push_back(rule + " at " + std::to_string(now_) + ": " + what);
 }
 
@@ -807,19 +837,21 @@
   const auto& job = jobs_.at(member.job.value);
   const auto& spec = job.spec;
   std::map<std::string, double> cores;
+  std::string held;
   std::map<std::string, std::uint32_t> zones;
   for (const auto& [host, other] : machines_) {
     for (const auto& [task, state] : other.tasks) {
       if (!other.on(task)) continue;
       const auto& its = jobs_.at(task.job.value).spec;
       cores[its.owner] += its.need.cores;
+      if (its.owner == spec.owner) held += " " + task.text() + "@" + host + "=" + std::to_string(its.need.cores);
       if (task.job == member.job) ++zones[other.zone];
       if (task == member && host != machine.host)
         violate("ran_twice", member.text() + " on " + host + " and " + machine.host);
     }
   }
   for (const auto& team : settings_.teams)
-    if (cores[team.name] > team.limit.cores + 1e-6) violate("quota", team.name + " at " + member.text());
+    if (cores[team.name] > team.limit.cores + 1e-6) violate("quota", team.name + ":" + held);
   if (spec.flavors && std::find(spec.flavors->begin(), spec.flavors->end(), machine.flavor) == spec.flavors->end())
     violate("wrong_place", member.text() + " on flavor " + machine.flavor);
   if (spec.rack_room && *spec.rack_room != machine.zone) violate("wrong_place", member.text() + " in " + machine.zone);
--- a/tests/sim/world.hpp
+++ b/tests/sim/world.hpp
@@ -199,6 +199,7 @@
   std::uint64_t starts_ = 0;
   std::priority_queue<Event, std::vector<Event>, std::greater<>> queue_;
   std::mt19937_64 random_;
+  runtime::Log log_;
   app::Settings settings_;
   std::vector<std::unique_ptr<Controller>> nodes_;
   std::map<std::pair<std::string, std::string>, Link> links_;
