--- a/src/leader/reports.cpp
+++ b/src/leader/reports.cpp
@@ -84,7 +84,11 @@
   // Invariant 11.
   if (std::pair(report.tenure, report.counter) <= std::pair(machine.tenure, machine.counter)) return false;
   const double now = loop().now();
-  if (report.tenure > machine.tenure && machine.tenure.value != 0) new_tenure(machine, report.tenure);
+  const bool session_begun = report.tenure > machine.tenure;
+  if (session_begun && machine.tenure.value != 0) new_tenure(machine, report.tenure);
+  // A session that is new to us began at some moment before now: its lease is counted from here, or a
+  // direct answer would bring back a machine whose lease seems to have run out long ago.
+  if (session_begun || machine.lost) machine.last_answered = std::max(machine.last_answered, now);
   machine.tenure = report.tenure;
   machine.counter = report.counter;
   machine.seen = std::max(machine.seen, report.fence);
