--- a/src/app/node.cpp
+++ b/src/app/node.cpp
@@ -20,7 +20,7 @@
   result.alpha = settings.own.alpha;
   result.phi = settings.own.phi;
   result.round_s = settings.own.round_reports * settings.report_s;
-  result.idle_s = settings.own.idle_reports * settings.report_s;
+  result.idle_boots = settings.own.idle_boots;
   return result;
 }
 
--- a/src/app/settings.cpp
+++ b/src/app/settings.cpp
@@ -118,7 +118,7 @@
       {"alpha", 0, 1, [&](double value) { own.alpha = value; }},
       {"phi", 0, 1, [&](double value) { own.phi = value; }},
       {"round_reports", 1, 1000, [&](double value) { own.round_reports = value; }},
-      {"idle_reports", 1, 10000, [&](double value) { own.idle_reports = value; }},
+      {"idle_boots", 0, 1000, [&](double value) { own.idle_boots = value; }},
       {"final_states_kept", 100, 1e7,
        [&](double value) { own.final_states_kept = static_cast<std::size_t>(value); }},
   };
--- a/src/leader/fleet.cpp
+++ b/src/leader/fleet.cpp
@@ -14,6 +14,8 @@
 constexpr double kProbeAfter = 1.7;     // silence after which a machine is asked directly
 constexpr double kSilentAfter = 4;      // silence after which it is given up
 constexpr double kMassShare = 0.4;      // more machines silent than this: it is our network, not theirs
+constexpr double kWindowShare = 0.5;    // of the time left until a job is due
+constexpr double kRounding = 1e-6;
 constexpr double kPlanGap = 0.3;        // between two plans made on events
 // Ratios to a type's usual boot time.
 constexpr double kBootLate = 2;         // no longer counted as coming
@@ -60,9 +62,10 @@
     item.need = job.spec.need;
     item.tasks = job.ready + job.bound;
     item.task_s = std::max(1.0, task_s(job));
-    item.window_s = std::max(item.task_s, std::min(due_in(job), 3600.0));
-    // Waiting for a machine to boot leaves no time beyond the run itself.
-    item.window_s = item.task_s;
+    // The period in which the work should be done. Estimates are often wrong by half: part of the time
+    // that is left is kept in reserve.
+    item.window_s = std::max(item.task_s, kWindowShare * due_in(job));
+    if (std::isinf(item.window_s)) item.window_s = item.task_s;
     item.service = job.service();
     item.reclaimable = job.spec.reclaimable;
     item.flavors = job.spec.flavors;
@@ -88,7 +91,6 @@
   const auto work = current_work(waiting);
   const auto plan = planner::plan(work, offers, settings_.alpha);
   top_up(plan, offers, waiting);
-  return_idle();
 }
 
 void Leader::top_up(const planner::Plan& plan, const std::vector<planner::Offer>& offers, bool waiting) {
@@ -114,23 +116,23 @@
         if (offer.flavor.name == rental.record.flavor)
           there[rental.record.reclaimable ? 1 : 0] += offer.flavor.size.cores * rental.record.count;
   double missing[2] = {wanted[0] - there[0], wanted[1] - there[1]};
-  // Cheapest per core first; what a type cannot give is asked of the next.
-  std::vector<std::size_t> order(offers.size());
-  for (std::size_t i = 0; i < order.size(); ++i) order[i] = i;
-  std::sort(order.begin(), order.end(), [&](std::size_t a, std::size_t b) {
-    return offers[a].flavor.rate / offers[a].flavor.size.cores < offers[b].flavor.rate / offers[b].flavor.size.cores;
-  });
+  // Whatever covers what is missing at the least cost: a machine much larger than that would stand idle for
+  // the most part. What a type cannot give is asked of the next.
   for (const bool spot : {true, false}) {
     double& lack = missing[spot ? 1 : 0];
-    for (const bool small_too : {false, true}) {
-      for (const auto i : order) {
-        const auto& offer = offers[i];
-        if (lack <= 0 || (spot && !offer.spot_allowed)) continue;
-        // A machine much larger than what is missing would stand idle for the most part.
-        const double count = small_too ? std::ceil(lack / offer.flavor.size.cores - 0.5)
-                                       : std::floor(lack / offer.flavor.size.cores);
-        if (count >= 1) lack -= rent(offer, spot, count) * offer.flavor.size.cores;
-      }
+    std::vector<std::size_t> left;
+    for (std::size_t i = 0; i < offers.size(); ++i)
+      if (!spot || offers[i].spot_allowed) left.push_back(i);
+    while (lack > kRounding && !left.empty()) {
+      const auto cover = [&](std::size_t i) {
+        const auto& flavor = offers[i].flavor;
+        return std::ceil(lack / flavor.size.cores - kRounding) * (spot ? flavor.low_price : flavor.rate);
+      };
+      const auto best = std::min_element(left.begin(), left.end(),
+                                         [&](std::size_t x, std::size_t y) { return cover(x) < cover(y); });
+      const auto& offer = offers[*best];
+      lack -= rent(offer, spot, std::ceil(lack / offer.flavor.size.cores - kRounding)) * offer.flavor.size.cores;
+      left.erase(best);
     }
     // Exception to the design (its first doubt): alpha's budget that no spot type can take must not stay
     // unspent while work waits.
@@ -404,11 +406,19 @@
       })});
 }
 
+// An idle machine is worth keeping for about as long as another takes to boot, the less the dearer it is.
+double Leader::idle_limit(const Machine& machine) const {
+  for (const auto& flavor : flavors_)
+    if (flavor.name == machine.flavor)
+      return settings_.idle_boots * flavor.boot_s * (machine.reclaimable ? 1 : flavor.low_price / flavor.rate);
+  return settings_.round_s;
+}
+
 void Leader::return_idle() {
   const double now = loop().now();
   for (auto& [host, machine] : machines_) {
     if (!machine.takes_tasks() || !machine.binds.empty()) continue;
-    if (now - machine.idle_since < settings_.idle_s) continue;
+    if (now - machine.idle_since < idle_limit(machine)) continue;
     release(machine, "it is idle");
   }
 }
--- a/src/leader/leader.cpp
+++ b/src/leader/leader.cpp
@@ -204,6 +204,7 @@
     place_soon();
   }
   if (now >= next_progress_) publish_progress();
+  return_idle();
   send_releases();
   flush();
 }
--- a/src/leader/leader.hpp
+++ b/src/leader/leader.hpp
@@ -40,7 +40,7 @@
   double alpha = 0.8;
   double phi = 0.1;
   double round_s = 15;
-  double idle_s = 60;
+  double idle_boots = 1;
 };
 
 // Messages.
@@ -170,6 +170,7 @@
   void gone(const wire::HostId& host);
   void list_hosts();
   void return_idle();
+  double idle_limit(const model::Machine& machine) const;
   bool reclaim_share_allows(const std::string& flavor) const;
 
   runtime::Log log_;
--- a/src/leader/placement.cpp
+++ b/src/leader/placement.cpp
@@ -93,7 +93,7 @@
 
 Machine* Leader::pick(const Job& job, bool reclaimable) {
   Machine* best = nullptr;
-  std::tuple<double, double> best_score;
+  std::tuple<double, double, double> best_score;
   for (auto& [host, machine] : machines_) {
     if (!machine.takes_tasks() || machine.reclaimable != reclaimable) continue;
     if (!planner::allows(job.spec.flavors, machine.flavor) || !job.spec.need.fits(machine.room())) continue;
@@ -106,7 +106,8 @@
       for (const auto& flavor : flavors_)
         if (flavor.name == machine.flavor && flavor.pull_gb_per_s > 0)
           fetch = job.spec.size_gb / flavor.pull_gb_per_s;
-    const std::tuple score{fetch, machine.room().cores};
+    // A service stays: on a large machine it would keep all of it rented.
+    const std::tuple score{fetch, job.service() ? machine.size.cores : 0, machine.room().cores};
     if (best == nullptr || score < best_score) {
       best = &machine;
       best_score = score;
