--- a/src/app/settings.cpp
+++ b/src/app/settings.cpp
@@ -70,11 +70,11 @@
   }
   if (params.contains("objectives"))
     for (const auto& item : list(params, "objectives")) {
-      // Only what says in which time a class's jobs should be done; the tightest counts.
+      // Only what says in which time a class's jobs should be done.
       if (item.value("kind", "") != "finished" || wire::absent(item, "class")) continue;
-      const auto within = wire::amount_field(item, "within_s");
-      auto [entry, added] = settings.within_s.try_emplace(wire::text_field(item, "class"), within);
-      if (!added) entry->second = std::min(entry->second, within);
+      auto& times = settings.within_s[wire::text_field(item, "class")];
+      times.push_back(wire::amount_field(item, "within_s"));
+      std::sort(times.begin(), times.end());
     }
   const auto& workers = section(params, "workers");
   settings.report_s = positive(workers, "report_s");
--- a/src/app/settings.hpp
+++ b/src/app/settings.hpp
@@ -44,7 +44,8 @@
   std::string cloud;
   std::string state;
   std::vector<TeamSettings> teams;
-  std::map<std::string, double> within_s;  // class -> time in which its jobs should be done
+  // Class -> times in which its jobs should be done, rising.
+  std::map<std::string, std::vector<double>> within_s;
   double report_s = 0;
   double lease_s = 0;
   double cancel_s = 0;
--- a/src/leader/fleet.cpp
+++ b/src/leader/fleet.cpp
@@ -24,6 +24,7 @@
 constexpr double kStockoutMost = 4;
 constexpr double kDriftAllowance = 1.002;
 constexpr double kAllowanceS = 1;
+constexpr double kLeastChargeS = 60;  // the protocol: a machine that is deleted costs at least this
 constexpr double kGoneKeptS = 3600;
 constexpr double kMinReclaimHistory = 600;  // machine seconds below which the reclaim share is unknown
 }  // namespace
@@ -418,7 +419,7 @@
   const double now = loop().now();
   for (auto& [host, machine] : machines_) {
     if (!machine.takes_tasks() || !machine.binds.empty()) continue;
-    if (now - machine.idle_since < idle_limit(machine)) continue;
+    if (now - machine.idle_since < idle_limit(machine) || now - machine.first_seen < kLeastChargeS) continue;
     release(machine, "it is idle");
   }
 }
--- a/src/leader/leader.hpp
+++ b/src/leader/leader.hpp
@@ -35,7 +35,7 @@
   std::size_t txn_ops = 16;
   std::vector<Team> teams;
   // Time in which a class's jobs should be done, from the objectives.
-  std::map<std::string, double> within_s;
+  std::map<std::string, std::vector<double>> within_s;  // rising
   // Operator's settings.
   double alpha = 0.8;
   double phi = 0.1;
@@ -149,6 +149,7 @@
   bool team_has_room(const model::Job& job) const;
   bool within_guarantee(const model::Job& job) const;
   double due_in(const model::Job& job) const;
+  double slack(const model::Job& job) const;
   bool zone_allows(const model::Job& job, const std::string& zone) const;
   model::Machine* pick(const model::Job& job, bool reclaimable);
   void bind(model::Machine& machine, model::Job& job, std::uint32_t index);
--- a/src/leader/placement.cpp
+++ b/src/leader/placement.cpp
@@ -17,6 +17,8 @@
 namespace {
 constexpr unsigned kTryBits = 24;  // attempts of one term; the term is above them
 constexpr double kRounding = 1e-6;
+// Guesses are often wrong by half: a job counts as too late only when even this part of its guess does not fit.
+constexpr double kHopeful = 0.75;
 }  // namespace
 
 void Leader::place_soon() {
@@ -29,14 +31,27 @@
 
 double Leader::task_s(const Job& job) const { return job.spec.guess_s; }
 
+// Time left until the first of the job's deadlines that it can still meet; infinite if there is none.
 double Leader::due_in(const Job& job) const {
   const double waited = loop().wall() - job.accepted_at;
-  if (job.spec.due_s) return *job.spec.due_s - waited;
+  const double least = kHopeful * task_s(job);
+  if (job.spec.due_s) {
+    const double left = *job.spec.due_s - waited;
+    return left >= least ? left : std::numeric_limits<double>::infinity();
+  }
   if (const auto within = settings_.within_s.find(job.spec.queue); within != settings_.within_s.end())
-    return within->second - waited;
+    for (const double time : within->second)
+      if (time - waited >= least) return time - waited;
   return std::numeric_limits<double>::infinity();
 }
 
+// A job that is too late for its deadline would, with slack 0, go before those that still can make theirs
+// and make them late in turn: it ranks like one without a deadline.
+double Leader::slack(const Job& job) const {
+  const double due = due_in(job);
+  return planner::slack(job.service(), std::isinf(due) ? std::nullopt : std::optional<double>(due), task_s(job));
+}
+
 bool Leader::may_start(const Job& job) const {
   if (!job.live() || job.ready == 0 || loop().now() < job.blocked_until) return false;
   // Invariant 5: what an earlier leader may have started waits until no unconfirmed machine could hold it.
@@ -139,10 +154,7 @@
   std::vector<Candidate> candidates;
   for (auto& [id, job] : jobs_) {
     if (!may_start(job)) continue;
-    const double due = due_in(job);
-    const auto slack = planner::slack(
-        job.service(), std::isinf(due) ? std::nullopt : std::optional<double>(due), task_s(job));
-    candidates.push_back({{!job.service(), !within_guarantee(job), slack, job.accepted_at}, &job});
+    candidates.push_back({{!job.service(), !within_guarantee(job), slack(job), job.accepted_at}, &job});
   }
   std::sort(candidates.begin(), candidates.end(),
             [](const Candidate& a, const Candidate& b) { return a.order < b.order; });
@@ -180,7 +192,7 @@
   const bool guaranteed = within_guarantee(job);
   Machine* best = nullptr;
   std::vector<wire::MemberId> best_victims;
-  double best_loss = std::numeric_limits<double>::max();
+  std::pair<bool, double> best_loss{true, std::numeric_limits<double>::max()};
   const double now = loop().now();
   for (auto& [host, machine] : machines_) {
     if (!machine.takes_tasks() || (machine.reclaimable && !job.spec.reclaimable)) continue;
@@ -210,10 +222,12 @@
       victims.push_back(member);
       loss += (bind.running_since > 0 ? now - bind.running_since : 0) * bind.need.cores;
     }
-    if (victims.empty() || !job.spec.need.fits(room) || loss >= best_loss) continue;
+    // Room on a machine that must fetch the image first is of use only later.
+    const std::pair costs{!machine.images.contains(job.spec.bundle), loss};
+    if (victims.empty() || !job.spec.need.fits(room) || costs >= best_loss) continue;
     best = &machine;
     best_victims = std::move(victims);
-    best_loss = loss;
+    best_loss = costs;
   }
   if (best == nullptr) return false;
   for (const auto& member : best_victims) {
--- a/src/leader/reports.cpp
+++ b/src/leader/reports.cpp
@@ -149,6 +149,10 @@
     case MemberPhase::running:
       if (!was_running) {
         bind.running_since = loop().now();
+        if (job != jobs_.end())
+          log_->debug("machine {}: {} runs {:.1f} s after its job's acceptance, {:.1f} s after placement",
+                      machine.host.value, member.member.text(), loop().wall() - job->second.accepted_at,
+                      loop().now() - bind.since);
         if (job != jobs_.end()) machine.images.insert(job->second.spec.bundle);
       }
       bind.phase = BindPhase::running;
@@ -293,6 +297,8 @@
     return store(wire::finished_key(job.spec.uid, chunk), wire::finished_hex(job.marks, chunk, model::kDone),
                  std::move(then));
   }
+  log_->info("job {}: all {} tasks done, {:.1f} s after acceptance ({} guessed {:.1f} s each)", job.spec.uid.value,
+             job.spec.members, loop().wall() - job.accepted_at, job.spec.queue, job.spec.guess_s);
   store(wire::job_key(job.spec.uid), to_json(wire::JobRecord{job.spec, wire::JobPhase::done, job.accepted_at}),
         [this, id = job.spec.uid, chunks, then = std::move(then)] {
           then();
--- a/tests/settings_test.cpp
+++ b/tests/settings_test.cpp
@@ -11,7 +11,8 @@
     "peer_listen":"10.0.0.1:8081","siblings":[{"host_name":"worker-1","zone":"b","addr":"10.0.0.2:8081"}],
     "external":{"cloud":"10.2.0.2:8443","state":"10.2.0.1:2379"},"later":1,
     "params":{"teams":[{"name":"red","cpus":7,"cpus_max":9.5,"gpus":0,"gpus_max":0}],
-    "objectives":[{"kind":"finished","class":"x","within_s":120,"share":0.9}],
+    "objectives":[{"kind":"finished","class":"x","within_s":120,"share":0.9},
+      {"kind":"finished","class":"x","within_s":60,"share":0.5}],
     "workers":{"report_s":3,"lease_s":44,"cancel_s":69},
     "state":{"rps":250,"write_rps":60,"value_kb":8,"txn_ops":32},"cloud":{"rps":6,"list_lag_s":6}}})");
 }
@@ -20,7 +21,7 @@
   const auto settings = parse_settings(good().dump());
   EXPECT_EQ(settings.siblings.at(0).addr, "10.0.0.2:8081");
   EXPECT_EQ(settings.teams.at(0).limit.cores, 9.5);
-  EXPECT_EQ(settings.within_s.at("x"), 120);
+  EXPECT_EQ(settings.within_s.at("x"), (std::vector<double>{60, 120}));
 }
 
 TEST(Settings, ErrorsNameTheField) {
