--- a/src/app/node.cpp
+++ b/src/app/node.cpp
@@ -50,7 +50,8 @@
               [this](wire::Progress progress) { gateway_.tell(gateway::Progressed{std::move(progress)}); }}),
       elector_(loop, store_, log, settings.host_name, incarnation,
                election::timing_from(settings.lease_s, settings.cancel_s),
-               [this](election::Validity validity) { leader_.tell(leader::Valid{validity.hold, validity.until}); }),
+               [this](election::Validity validity) { leader_.tell(leader::Valid{validity.hold, validity.until}); },
+               [this] { return relay_.any_sibling(); }),
       leader_(loop, log, leader_settings(settings, incarnation),
               {store_, cloud_, client, [this] { elector_.tell(election::RaiseTerm{}); },
                [this](wire::Progress progress) {
--- a/src/election/elector.cpp
+++ b/src/election/elector.cpp
@@ -7,6 +7,10 @@
 using state::Outcome;
 using wire::Json;
 
+namespace {
+constexpr double kLetOthersFirst = 2;  // in times-to-live of the leader's lease
+}
+
 Timing timing_from(double lease_s, double cancel_s) {
   Timing timing;
   timing.ttl_s = (cancel_s - lease_s) / 10;
@@ -15,9 +19,10 @@
 }
 
 Elector::Elector(runtime::Loop& loop, state::Store& store, runtime::Log log, std::string node,
-                 std::uint64_t incarnation, Timing timing, std::function<void(Validity)> on_validity)
+                 std::uint64_t incarnation, Timing timing, std::function<void(Validity)> on_validity,
+                 std::function<bool()> connected)
     : Actor(loop), store_(store), log_(std::move(log)), node_(std::move(node)), incarnation_(incarnation),
-      timing_(timing), on_validity_(std::move(on_validity)) {}
+      timing_(timing), on_validity_(std::move(on_validity)), connected_(std::move(connected)) {}
 
 void Elector::start() { consider(); }
 
@@ -58,7 +63,14 @@
   retry_ = loop().after(timing_.renew_s * loop().uniform(0.8, 1.2), [this] { consider(); });
   if (!store_.synced() || campaigning_ || hold_ != 0) return;
   const auto record = leader();
-  if (!record) return campaign();
+  if (!record) {
+    // One that hears no sibling is rather on the smaller side of a cut, where fewer workers reach it: it
+    // lets the others go first.
+    if (vacant_since_ < 0) vacant_since_ = loop().now();
+    if (connected_() || loop().now() - vacant_since_ > kLetOthersFirst * timing_.ttl_s) campaign();
+    return;
+  }
+  vacant_since_ = -1;
   // Our earlier incarnation has ended, or this one would not run: its lease need not run out by itself.
   if (record->node == node_ && record->incarnation != incarnation_) {
     log_->info("election: ending the lease of our earlier incarnation");
--- a/src/election/elector.hpp
+++ b/src/election/elector.hpp
@@ -38,7 +38,7 @@
 class Elector : public runtime::Actor<Elector, Changed, RaiseTerm> {
  public:
   Elector(runtime::Loop& loop, state::Store& store, runtime::Log log, std::string node,
-          std::uint64_t incarnation, Timing timing, std::function<void(Validity)> on_validity);
+          std::uint64_t incarnation, Timing timing, std::function<void(Validity)> on_validity, std::function<bool()> connected);
   void start();
 
   void on(Changed& message);
@@ -60,9 +60,10 @@
   std::uint64_t incarnation_;
   Timing timing_;
   std::function<void(Validity)> on_validity_;
+  std::function<bool()> connected_;
   state::View view_;
   std::uint64_t hold_ = 0;  // 0: no lease
-  bool synced_ = false;
+  double vacant_since_ = -1;
   bool campaigning_ = false;
   bool raising_ = false;
   runtime::Timer retry_;
