--- a/src/app/main.cpp
+++ b/src/app/main.cpp
@@ -44,10 +44,9 @@
                       settings.report_s);
   app::Node node(loop, log, settings, incarnation, client, peers);
   // Workers and users may be silent between requests for several report intervals.
-  net::EvhttpServer server(loop, settings.api_addr, settings.lease_s,
-                           [&node](net::Request request, net::Reply reply) {
-                             node.handle(std::move(request), std::move(reply));
-                           });
+  net::EvhttpServer server(
+      loop, settings.api_addr, settings.lease_s,
+      [&node](net::Request request, net::Reply reply) { node.handle(std::move(request), std::move(reply)); });
   log->info("bankhill {}: {} in {} serves on {}", BANKHILL_VERSION, settings.host_name, settings.zone,
             settings.api_addr);
   node.start();
--- a/src/app/node.cpp
+++ b/src/app/node.cpp
@@ -45,13 +45,20 @@
       cloud_(loop, client, log, settings.cloud, settings.cloud_rps),
       relay_(loop, names(settings), settings.report_s / 6,
              {peers,
-              [this](net::Request request, net::Reply reply) { route(std::move(request), std::move(reply), true); },
-              [this] { return wire::Beat{leader_.term(), gateway_.state_ok(), leader_.valid()}; },
+              [this](net::Request request, net::Reply reply) {
+                route(std::move(request), std::move(reply), true);
+              },
+              [this] {
+                return wire::Beat{leader_.term(), gateway_.state_ok(), leader_.valid()};
+              },
               [this](wire::Progress progress) { gateway_.tell(gateway::Progressed{std::move(progress)}); }}),
-      elector_(loop, store_, log, settings.host_name, incarnation,
-               election::timing_from(settings.lease_s, settings.cancel_s),
-               [this](election::Validity validity) { leader_.tell(leader::Valid{validity.hold, validity.until}); },
-               [this] { return relay_.any_sibling(); }),
+      elector_(
+          loop, store_, log, settings.host_name, incarnation,
+          election::timing_from(settings.lease_s, settings.cancel_s),
+          [this](election::Validity validity) {
+            leader_.tell(leader::Valid{validity.hold, validity.until});
+          },
+          [this] { return relay_.any_sibling(); }),
       leader_(loop, log, leader_settings(settings, incarnation),
               {store_, cloud_, client, [this] { elector_.tell(election::RaiseTerm{}); },
                [this](wire::Progress progress) {
--- a/src/app/settings.cpp
+++ b/src/app/settings.cpp
@@ -38,8 +38,8 @@
   auto text = wire::text_field(object, name);
   const auto colon = text.rfind(':');
   const auto port = colon == std::string::npos ? std::string() : text.substr(colon + 1);
-  const bool number =
-      !port.empty() && port.size() <= 5 && std::all_of(port.begin(), port.end(), [](char c) { return c >= '0' && c <= '9'; });
+  const bool number = !port.empty() && port.size() <= 5 &&
+                      std::all_of(port.begin(), port.end(), [](char c) { return c >= '0' && c <= '9'; });
   if (!number || std::stoul(port) == 0 || std::stoul(port) > 65535)
     throw BadSettings(std::string("settings: field '") + name + "' is not an address with a port");
   return text;
@@ -128,7 +128,8 @@
     if (!root.IsMap()) throw BadSettings("operator settings: not a map");
     for (const auto& entry : root) {
       const auto name = entry.first.as<std::string>();
-      const auto key = std::find_if(keys.begin(), keys.end(), [&](const Key& item) { return name == item.name; });
+      const auto key =
+          std::find_if(keys.begin(), keys.end(), [&](const Key& item) { return name == item.name; });
       if (key == keys.end()) throw BadSettings("operator settings: unknown key '" + name + "'");
       const auto value = entry.second.as<double>();
       if (!std::isfinite(value) || value < key->low || value > key->high)
--- a/src/cloud/cloud.cpp
+++ b/src/cloud/cloud.cpp
@@ -18,7 +18,11 @@
 
 Cloud::Cloud(runtime::Loop& loop, net::Client& client, runtime::Log log, std::string address, double rps)
     // Only the leader calls the cloud; the margin is for what its predecessor used just before.
-    : Actor(loop), client_(client), log_(std::move(log)), address_(std::move(address)), rps_(rps),
+    : Actor(loop),
+      client_(client),
+      log_(std::move(log)),
+      address_(std::move(address)),
+      rps_(rps),
       requests_(rps * 0.8, rps) {}
 
 bool Cloud::allowed(double reserve) { return requests_.take(loop().now(), 1, reserve); }
@@ -65,8 +69,9 @@
   if (!allowed(0)) return message.done(false);
   Json hosts = Json::array();
   for (const auto& host : message.hosts) hosts.push_back(host.value);
-  client_.send(address_, {Method::post, "/machines/release", Json{{"hosts", std::move(hosts)}}.dump()}, kAnswerS,
-               guard([done = std::move(message.done)](const Response& response) { done(response.status == 200); }));
+  client_.send(
+      address_, {Method::post, "/machines/release", Json{{"hosts", std::move(hosts)}}.dump()}, kAnswerS,
+      guard([done = std::move(message.done)](const Response& response) { done(response.status == 200); }));
 }
 
 void Cloud::on(ListHosts& message) { list_page("", {}, std::move(message.done)); }
@@ -76,20 +81,21 @@
   if (!allowed(kReserve * rps_)) return done(std::nullopt);
   std::string path = "/machines?most=" + std::to_string(kPage);
   if (!after.empty()) path += "&after=" + after;
-  client_.send(address_, {Method::get, std::move(path), ""}, kAnswerS,
-               guard([this, so_far = std::move(so_far), done = std::move(done)](const Response& response) mutable {
-                 if (response.status != 200) return done(std::nullopt);
-                 try {
-                   auto page = wire::parse_host_page(wire::parse_object(response.body));
-                   for (auto& host : page.hosts) so_far.push_back(std::move(host));
-                   if (!page.has_next || page.hosts.empty()) return done(std::move(so_far));
-                   auto last = so_far.back().uid.value;
-                   list_page(std::move(last), std::move(so_far), std::move(done));
-                 } catch (const std::exception& error) {
-                   log_->error("cloud: list cannot be read: {}", error.what());
-                   done(std::nullopt);
-                 }
-               }));
+  client_.send(
+      address_, {Method::get, std::move(path), ""}, kAnswerS,
+      guard([this, so_far = std::move(so_far), done = std::move(done)](const Response& response) mutable {
+        if (response.status != 200) return done(std::nullopt);
+        try {
+          auto page = wire::parse_host_page(wire::parse_object(response.body));
+          for (auto& host : page.hosts) so_far.push_back(std::move(host));
+          if (!page.has_next || page.hosts.empty()) return done(std::move(so_far));
+          auto last = so_far.back().uid.value;
+          list_page(std::move(last), std::move(so_far), std::move(done));
+        } catch (const std::exception& error) {
+          log_->error("cloud: list cannot be read: {}", error.what());
+          done(std::nullopt);
+        }
+      }));
 }
 
 }  // namespace bankhill::cloud
--- a/src/election/elector.cpp
+++ b/src/election/elector.cpp
@@ -21,8 +21,14 @@
 Elector::Elector(runtime::Loop& loop, state::Store& store, runtime::Log log, std::string node,
                  std::uint64_t incarnation, Timing timing, std::function<void(Validity)> on_validity,
                  std::function<bool()> connected)
-    : Actor(loop), store_(store), log_(std::move(log)), node_(std::move(node)), incarnation_(incarnation),
-      timing_(timing), on_validity_(std::move(on_validity)), connected_(std::move(connected)) {}
+    : Actor(loop),
+      store_(store),
+      log_(std::move(log)),
+      node_(std::move(node)),
+      incarnation_(incarnation),
+      timing_(timing),
+      on_validity_(std::move(on_validity)),
+      connected_(std::move(connected)) {}
 
 void Elector::start() { consider(); }
 
@@ -106,9 +112,8 @@
 void Elector::take(std::uint64_t hold) {
   state::Transaction transaction;
   transaction.when = {{wire::kTermKey, view_.stamp(wire::kTermKey)}, {wire::kLeaderKey, wire::Stamp{0}}};
-  transaction.writes = {
-      {wire::kTermKey, next_term(), std::nullopt},
-      {wire::kLeaderKey, to_json(wire::LeaderRecord{node_, incarnation_, hold}), hold}};
+  transaction.writes = {{wire::kTermKey, next_term(), std::nullopt},
+                        {wire::kLeaderKey, to_json(wire::LeaderRecord{node_, incarnation_, hold}), hold}};
   store_.tell(state::Commit{std::move(transaction), guard([this, hold](state::CommitResult result) {
                               if (hold_ != hold) return;
                               if (result.outcome == Outcome::conflict || result.outcome == Outcome::refused) {
@@ -127,11 +132,12 @@
   if (hold == 0) return;
   renew_timer_ = loop().after(timing_.renew_s, [this] { renew(); });
   const double sent = loop().now();
-  store_.tell(state::TouchLease{hold, timing_.ttl_s / 2, guard([this, hold, sent](std::optional<bool> renewed) {
-                                  if (hold_ != hold || !renewed) return;
-                                  if (!*renewed) return lost();
-                                  on_validity_({hold, sent + timing_.ttl_s * (1 - timing_.drift)});
-                                })});
+  store_.tell(
+      state::TouchLease{hold, timing_.ttl_s / 2, guard([this, hold, sent](std::optional<bool> renewed) {
+                          if (hold_ != hold || !renewed) return;
+                          if (!*renewed) return lost();
+                          on_validity_({hold, sent + timing_.ttl_s * (1 - timing_.drift)});
+                        })});
   // A lease that took no key is of no use: another controller leads, or the transaction never arrived.
   const auto record = leader();
   if (record && record->hold != hold) lost();
--- a/src/election/elector.hpp
+++ b/src/election/elector.hpp
@@ -14,9 +14,9 @@
 namespace bankhill::election {
 
 struct Timing {
-  double ttl_s = 0;     // of the leader's lease
-  double renew_s = 0;   // between renewals
-  double drift = 0.001; // steady clocks may differ by half of this, each way
+  double ttl_s = 0;      // of the leader's lease
+  double renew_s = 0;    // between renewals
+  double drift = 0.001;  // steady clocks may differ by half of this, each way
 };
 
 // The time-to-live is a small part of what a cancellation leaves beyond a worker's lease, so that
@@ -38,7 +38,8 @@
 class Elector : public runtime::Actor<Elector, Changed, RaiseTerm> {
  public:
   Elector(runtime::Loop& loop, state::Store& store, runtime::Log log, std::string node,
-          std::uint64_t incarnation, Timing timing, std::function<void(Validity)> on_validity, std::function<bool()> connected);
+          std::uint64_t incarnation, Timing timing, std::function<void(Validity)> on_validity,
+          std::function<bool()> connected);
   void start();
 
   void on(Changed& message);
--- a/src/gateway/gateway.cpp
+++ b/src/gateway/gateway.cpp
@@ -18,12 +18,18 @@
 constexpr double kRelayS = 1.5;  // users wait 2 s for a poll
 constexpr int kTries = 5;
 
-Response error(int status, const std::string& text) { return {status, Json{{"error", text}}.dump(), std::nullopt}; }
+Response error(int status, const std::string& text) {
+  return {status, Json{{"error", text}}.dump(), std::nullopt};
+}
 }  // namespace
 
 Gateway::Gateway(runtime::Loop& loop, runtime::Log log, state::Store& store, net::Relay& relay,
                  std::vector<TeamLimit> teams, std::size_t final_states_kept)
-    : Actor(loop), log_(std::move(log)), store_(store), relay_(relay), teams_(std::move(teams)),
+    : Actor(loop),
+      log_(std::move(log)),
+      store_(store),
+      relay_(relay),
+      teams_(std::move(teams)),
       final_states_kept_(final_states_kept) {}
 
 bool Gateway::state_ok() const { return store_.synced() && store_.silence() < kStateSilenceS; }
@@ -74,8 +80,8 @@
 }
 
 void Gateway::on(UserCall& message) {
-  auto call = std::make_shared<Call>(
-      Call{std::move(message.request), std::move(message.reply), message.relayed, 0});
+  auto call =
+      std::make_shared<Call>(Call{std::move(message.request), std::move(message.reply), message.relayed, 0});
   const auto path = std::string_view(call->request.path).substr(0, call->request.path.find('?'));
   const auto method = call->request.method;
   constexpr std::string_view kSubmissions = "/submissions";
@@ -98,7 +104,8 @@
 }
 
 void Gateway::look_up(const JobId& id, std::function<void(bool, const Known*)> done) {
-  // Final states never change. Anything else, "never heard of it" included, needs a read barrier (invariant 9).
+  // Final states never change. Anything else, "never heard of it" included, needs a read barrier (invariant
+  // 9).
   const auto now_known = jobs_.find(id);
   if (now_known != jobs_.end() && now_known->second.phase != JobPhase::accepted)
     return done(true, &now_known->second);
@@ -109,13 +116,14 @@
       const auto found = jobs_.find(id);
       if (found != jobs_.end()) return done(true, &found->second);
       if (!forgot_some_) return done(true, nullptr);
-      store_.tell(state::Fetch{wire::job_key(id), guard([this, id, done](bool known, std::optional<state::Entry> entry) {
-                                 if (!known) return done(false, nullptr);
-                                 if (!entry) return done(true, nullptr);
-                                 learn(id, *entry);
-                                 const auto fetched = jobs_.find(id);
-                                 done(fetched != jobs_.end(), fetched != jobs_.end() ? &fetched->second : nullptr);
-                               })});
+      store_.tell(state::Fetch{
+          wire::job_key(id), guard([this, id, done](bool known, std::optional<state::Entry> entry) {
+            if (!known) return done(false, nullptr);
+            if (!entry) return done(true, nullptr);
+            learn(id, *entry);
+            const auto fetched = jobs_.find(id);
+            done(fetched != jobs_.end(), fetched != jobs_.end() ? &fetched->second : nullptr);
+          })});
     }));
   })});
 }
@@ -179,24 +187,25 @@
 void Gateway::accept(const CallPtr& call, const wire::JobSpec& spec) {
   state::Transaction transaction;
   transaction.when = {{wire::job_key(spec.uid), wire::Stamp{0}}};
-  transaction.writes = {
-      {wire::job_key(spec.uid), to_json(wire::JobRecord{spec, JobPhase::accepted, loop().wall()}), std::nullopt}};
-  store_.tell(state::Commit{std::move(transaction), guard([this, call, spec](state::CommitResult result) {
-                              switch (result.outcome) {
-                                case Outcome::done:
-                                  log_->debug("job {}: accepted", spec.uid.value);
-                                  return call->reply(
-                                      {201, Json{{"uid", spec.uid.value}, {"phase", "queued"}}.dump(), std::nullopt});
-                                case Outcome::conflict:
-                                  return answer_known(call, spec.uid);
-                                case Outcome::refused:
-                                  return unable(call);
-                                case Outcome::unknown:
-                                  // Repeating it tells: a conflict means that it was applied.
-                                  if (++call->tries < 2) return accept(call, spec);
-                                  return unable(call);
-                              }
-                            })});
+  transaction.writes = {{wire::job_key(spec.uid),
+                         to_json(wire::JobRecord{spec, JobPhase::accepted, loop().wall()}), std::nullopt}};
+  store_.tell(
+      state::Commit{std::move(transaction), guard([this, call, spec](state::CommitResult result) {
+                      switch (result.outcome) {
+                        case Outcome::done:
+                          log_->debug("job {}: accepted", spec.uid.value);
+                          return call->reply(
+                              {201, Json{{"uid", spec.uid.value}, {"phase", "queued"}}.dump(), std::nullopt});
+                        case Outcome::conflict:
+                          return answer_known(call, spec.uid);
+                        case Outcome::refused:
+                          return unable(call);
+                        case Outcome::unknown:
+                          // Repeating it tells: a conflict means that it was applied.
+                          if (++call->tries < 2) return accept(call, spec);
+                          return unable(call);
+                      }
+                    })});
 }
 
 void Gateway::answer_known(const CallPtr& call, const JobId& id) {
@@ -229,13 +238,13 @@
             // Invariant 8: done and cancelled race for this stamp.
             transaction.when = {{wire::job_key(id), found->stamp}};
             transaction.writes = {{wire::job_key(id), to_json(record), std::nullopt}};
-            store_.tell(state::Commit{std::move(transaction), guard([this, call, id](state::CommitResult result) {
-                                        if (result.outcome == Outcome::refused) return unable(call);
-                                        if (result.outcome != Outcome::done) return withdraw(call, id);
-                                        log_->info("job {}: cancelled", id.value);
-                                        call->reply({200, Json{{"uid", id.value}, {"phase", "cancelled"}}.dump(),
-                                                     std::nullopt});
-                                      })});
+            store_.tell(state::Commit{
+                std::move(transaction), guard([this, call, id](state::CommitResult result) {
+                  if (result.outcome == Outcome::refused) return unable(call);
+                  if (result.outcome != Outcome::done) return withdraw(call, id);
+                  log_->info("job {}: cancelled", id.value);
+                  call->reply({200, Json{{"uid", id.value}, {"phase", "cancelled"}}.dump(), std::nullopt});
+                })});
           }));
 }
 
--- a/src/leader/fleet.cpp
+++ b/src/leader/fleet.cpp
@@ -11,12 +11,12 @@
 
 namespace {
 // Ratios to the report interval.
-constexpr double kProbeAfter = 1.7;     // silence after which a machine is asked directly
-constexpr double kSilentAfter = 3;      // silence after which it is given up
-constexpr double kMassShare = 0.4;      // more machines silent than this: it is our network, not theirs
-constexpr double kWindowShare = 0.5;    // of the time left until a job is due
+constexpr double kProbeAfter = 1.7;   // silence after which a machine is asked directly
+constexpr double kSilentAfter = 3;    // silence after which it is given up
+constexpr double kMassShare = 0.4;    // more machines silent than this: it is our network, not theirs
+constexpr double kWindowShare = 0.5;  // of the time left until a job is due
 constexpr double kRounding = 1e-6;
-constexpr double kPlanGap = 0.3;        // between two plans made on events
+constexpr double kPlanGap = 0.3;  // between two plans made on events
 // Ratios to a type's usual boot time.
 constexpr double kBootLate = 2;         // no longer counted as coming
 constexpr double kBootNever = 5;        // given up
@@ -74,7 +74,8 @@
     if (const auto* owner = team(job.spec.owner)) {
       // Tasks beyond the team's limit cannot run at the same time.
       auto& used = cores[job.spec.owner];
-      item.tasks = std::min(item.tasks, std::max(0.0, std::floor((owner->limit.cores - used) / item.need.cores)));
+      item.tasks =
+          std::min(item.tasks, std::max(0.0, std::floor((owner->limit.cores - used) / item.need.cores)));
       used += item.tasks * item.need.cores;
     }
     if (job.ready > 0) waiting = true;
@@ -132,7 +133,8 @@
       const auto best = std::min_element(left.begin(), left.end(),
                                          [&](std::size_t x, std::size_t y) { return cover(x) < cover(y); });
       const auto& offer = offers[*best];
-      lack -= rent(offer, spot, std::ceil(lack / offer.flavor.size.cores - kRounding)) * offer.flavor.size.cores;
+      lack -=
+          rent(offer, spot, std::ceil(lack / offer.flavor.size.cores - kRounding)) * offer.flavor.size.cores;
       left.erase(best);
     }
     // Exception to the design (its first doubt): alpha's budget that no spot type can take must not stay
@@ -158,7 +160,8 @@
     const auto type = planner::preferred(item, offers);
     if (!type || earned[*type]) continue;
     earned[*type] = true;
-    if (std::any_of(rentals_.begin(), rentals_.end(), [](const auto& entry) { return !entry.second.record.hosts; }))
+    if (std::any_of(rentals_.begin(), rentals_.end(),
+                    [](const auto& entry) { return !entry.second.record.hosts; }))
       continue;
     // Smallest type that holds it, since one task is all that is known to need it.
     std::size_t smallest = *type;
@@ -190,9 +193,10 @@
     if (share < 1) break;
     const std::string name = "r-" + std::to_string(first_term_) + "-" + std::to_string(++rentals_made_);
     auto& rental = rentals_[name];
-    rental.record = {offer.flavor.name, zones[i], reclaimable,
-                     static_cast<std::uint32_t>(std::min<double>(share, cloud::kMaxRental)), loop().wall(),
-                     std::nullopt};
+    rental.record = {
+        offer.flavor.name, zones[i],
+        reclaimable,       static_cast<std::uint32_t>(std::min<double>(share, cloud::kMaxRental)),
+        loop().wall(),     std::nullopt};
     asked += rental.record.count;
     log_->info("rental {}: {} x {} in {}{}", name, rental.record.count, offer.flavor.name, zones[i],
                reclaimable ? ", spot" : "");
@@ -322,7 +326,8 @@
       doubtful = doubtful || (heard_since && bind.stopping && bind.doubt.value == term_);
     for (const auto& [member, leftover] : machine.leftovers)
       doubtful = doubtful || (heard_since && leftover.doubt.value == term_);
-    if (machine.draining && machine.binds.empty() && machine.confirmed) release(machine, machine.drain_reason);
+    if (machine.draining && machine.binds.empty() && machine.confirmed)
+      release(machine, machine.drain_reason);
     if (machine.warned_until && now > *machine.warned_until) release(machine, "its notice has run out");
   }
   // Many of a zone at once: rather the network; releasing them would end work that goes on there. One that
@@ -350,7 +355,8 @@
 
 void Leader::release(Machine& machine, const std::string& reason) {
   if (std::exchange(machine.releasing, true)) return;
-  log_->info("machine {}: releasing it, {} ({} tasks bound)", machine.host.value, reason, machine.binds.size());
+  log_->info("machine {}: releasing it, {} ({} tasks bound)", machine.host.value, reason,
+             machine.binds.size());
   loop().post(guard([this] { send_releases(); }));
 }
 
@@ -388,8 +394,8 @@
 void Leader::list_hosts() {
   next_list_ = loop().now() + std::max(settings_.list_lag_s, settings_.report_s);
   if (std::exchange(listing_, true)) return;
-  ports_.cloud.tell(cloud::ListHosts{
-      guard([this, reign = first_term_](std::optional<std::vector<wire::ListedHost>> hosts) {
+  ports_.cloud.tell(
+      cloud::ListHosts{guard([this, reign = first_term_](std::optional<std::vector<wire::ListedHost>> hosts) {
         if (!reigning_ || reign != first_term_) return;
         listing_ = false;
         if (!hosts || !valid()) return;
@@ -418,7 +424,8 @@
 double Leader::idle_limit(const Machine& machine) const {
   for (const auto& flavor : flavors_)
     if (flavor.name == machine.flavor)
-      return settings_.idle_boots * flavor.boot_s * (machine.reclaimable ? 1 : flavor.low_price / flavor.rate);
+      return settings_.idle_boots * flavor.boot_s *
+             (machine.reclaimable ? 1 : flavor.low_price / flavor.rate);
   return settings_.round_s;
 }
 
--- a/src/leader/intents.cpp
+++ b/src/leader/intents.cpp
@@ -52,19 +52,19 @@
   committing_ = true;
   const auto reign = first_term_;
   auto shared = std::make_shared<std::map<std::string, Intent>>(std::move(batch));
-  ports_.store.tell(state::Commit{std::move(transaction), guard([this, reign, shared](state::CommitResult result) {
-                                    if (!reigning_ || reign != first_term_) return;
-                                    if (result.outcome == Outcome::done)
-                                      return committed(std::move(*shared), result.epoch);
-                                    // Unless it was done, look what the keys hold now and try again.
-                                    ports_.store.tell(state::Sync{guard([this, reign, shared](bool) {
-                                                                    loop().post(guard([this, reign, shared] {
-                                                                      if (reigning_ && reign == first_term_)
-                                                                        resolve(std::move(*shared));
-                                                                    }));
-                                                                  }),
-                                                                  true});
-                                  })});
+  ports_.store.tell(
+      state::Commit{std::move(transaction), guard([this, reign, shared](state::CommitResult result) {
+                      if (!reigning_ || reign != first_term_) return;
+                      if (result.outcome == Outcome::done) return committed(std::move(*shared), result.epoch);
+                      // Unless it was done, look what the keys hold now and try again.
+                      ports_.store.tell(state::Sync{guard([this, reign, shared](bool) {
+                                                      loop().post(guard([this, reign, shared] {
+                                                        if (reigning_ && reign == first_term_)
+                                                          resolve(std::move(*shared));
+                                                      }));
+                                                    }),
+                                                    true});
+                    })});
 }
 
 void Leader::committed(std::map<std::string, Intent> batch, wire::Epoch epoch) {
--- a/src/leader/placement.cpp
+++ b/src/leader/placement.cpp
@@ -19,7 +19,8 @@
 constexpr double kHeardReports = 1.7;
 constexpr unsigned kTryBits = 24;  // attempts of one term; the term is above them
 constexpr double kRounding = 1e-6;
-// Guesses are often wrong by half: a job counts as too late only when even this part of its guess does not fit.
+// Guesses are often wrong by half: a job counts as too late only when even this part of its guess does not
+// fit.
 constexpr double kHopeful = 0.75;
 }  // namespace
 
@@ -51,7 +52,8 @@
 // and make them late in turn: it ranks like one without a deadline.
 double Leader::slack(const Job& job) const {
   const double due = due_in(job);
-  return planner::slack(job.service(), std::isinf(due) ? std::nullopt : std::optional<double>(due), task_s(job));
+  return planner::slack(job.service(), std::isinf(due) ? std::nullopt : std::optional<double>(due),
+                        task_s(job));
 }
 
 bool Leader::may_start(const Job& job) const {
@@ -223,9 +225,10 @@
       const bool lower = other->second.spec.rank < job.spec.rank;
       const bool borrowed = guaranteed && owner != nullptr && bind.owner != job.spec.owner &&
                             usage_[bind.owner].used.cores > owner->guarantee.cores + kRounding;
-      const double left = other->second.service()
-                              ? std::numeric_limits<double>::max()
-                              : task_s(other->second) - (bind.running_since > 0 ? now - bind.running_since : 0);
+      const double left =
+          other->second.service()
+              ? std::numeric_limits<double>::max()
+              : task_s(other->second) - (bind.running_since > 0 ? now - bind.running_since : 0);
       if (!lower && !(borrowed && left > kLongRounds * settings_.round_s)) continue;
       room += bind.need;
       victims.push_back(member);
--- a/src/leader/reports.cpp
+++ b/src/leader/reports.cpp
@@ -112,8 +112,10 @@
   for (const auto& [member, bind] : machine.binds) {
     const bool direct_over =
         bind.directs_pending == 0 && (bind.doubt.value == 0 || bind.doubt < machine.seen);
-    const bool answer_over = bind.answered_counter == 0 || (!direct && report.counter > bind.answered_counter);
-    if (bind.stopping && bind.phase == BindPhase::sent && !listed.contains(member) && direct_over && answer_over)
+    const bool answer_over =
+        bind.answered_counter == 0 || (!direct && report.counter > bind.answered_counter);
+    if (bind.stopping && bind.phase == BindPhase::sent && !listed.contains(member) && direct_over &&
+        answer_over)
       never_started.push_back(member);
   }
   for (const auto& member : never_started) unbind(machine, member);
@@ -121,7 +123,8 @@
 }
 
 void Leader::new_tenure(Machine& machine, wire::Tenure tenure) {
-  log_->warn("machine {}: its lease ran out, its tasks are gone ({})", machine.host.value, machine.binds.size());
+  log_->warn("machine {}: its lease ran out, its tasks are gone ({})", machine.host.value,
+             machine.binds.size());
   std::vector<wire::MemberId> members;
   for (const auto& [member, bind] : machine.binds)
     if (bind.tenure < tenure) members.push_back(member);
@@ -257,7 +260,8 @@
         left->second.stored = true;
     });
   } else if (live && member.cause != ExitCause::halted) {
-    log_->info("machine {}: {} exited with {}", machine.host.value, member.member.text(), name_of(member.cause));
+    log_->info("machine {}: {} exited with {}", machine.host.value, member.member.text(),
+               name_of(member.cause));
     failed(machine, job->second, member.cause);
   }
   machine.leftovers[member.member] = leftover;
@@ -283,7 +287,8 @@
   }
   // Refused, or failing everywhere: not again at once.
   ++job.failures_in_row;
-  const double pause = std::min(kLastBackoffReports, kFirstBackoffReports * job.failures_in_row) * settings_.report_s;
+  const double pause =
+      std::min(kLastBackoffReports, kFirstBackoffReports * job.failures_in_row) * settings_.report_s;
   job.blocked_until = now + pause;
   job.failed_on.clear();
   log_->warn("job {}: its tasks fail on several machines, waiting {} s", job.spec.uid.value, pause);
@@ -297,9 +302,11 @@
     return store(wire::finished_key(job.spec.uid, chunk), wire::finished_hex(job.marks, chunk, model::kDone),
                  std::move(then));
   }
-  log_->info("job {}: all {} tasks done, {:.1f} s after acceptance ({} guessed {:.1f} s each)", job.spec.uid.value,
-             job.spec.members, loop().wall() - job.accepted_at, job.spec.queue, job.spec.guess_s);
-  store(wire::job_key(job.spec.uid), to_json(wire::JobRecord{job.spec, wire::JobPhase::done, job.accepted_at}),
+  log_->info("job {}: all {} tasks done, {:.1f} s after acceptance ({} guessed {:.1f} s each)",
+             job.spec.uid.value, job.spec.members, loop().wall() - job.accepted_at, job.spec.queue,
+             job.spec.guess_s);
+  store(wire::job_key(job.spec.uid),
+        to_json(wire::JobRecord{job.spec, wire::JobPhase::done, job.accepted_at}),
         [this, id = job.spec.uid, chunks, then = std::move(then)] {
           then();
           for (std::uint32_t chunk = 0; chunk < chunks; ++chunk) {
@@ -404,7 +411,8 @@
   machine.draining = true;
   machine.drain_reason = "the cloud takes it back";
   reclaims_[machine.flavor].count += 1;
-  log_->info("machine {}: the cloud takes it in {} s, {} tasks", machine.host.value, warning_s, machine.binds.size());
+  log_->info("machine {}: the cloud takes it in {} s, {} tasks", machine.host.value, warning_s,
+             machine.binds.size());
   for (auto& [member, bind] : machine.binds) {
     const auto job = jobs_.find(member.job);
     if (job == jobs_.end() || bind.stopping) continue;
--- a/src/model/machine.hpp
+++ b/src/model/machine.hpp
@@ -24,7 +24,7 @@
   bool stopping = false;
   bool alien = false;  // found here although it is bound elsewhere or over: only to be stopped
   double wind_down_s = 0;
-  double since = 0;       // steady clock: when it was bound
+  double since = 0;  // steady clock: when it was bound
   double running_since = 0;
   // A start sent straight to the worker may arrive late while it is unanswered, and for as long as the
   // worker has not seen a fence above the one it was sent with.
@@ -50,8 +50,8 @@
   bool reclaimable = false;
   wire::Amounts size;
 
-  bool up = false;         // has reported, or is recorded as one that did
-  bool recorded = false;   // its record is committed: it may hold tasks
+  bool up = false;        // has reported, or is recorded as one that did
+  bool recorded = false;  // its record is committed: it may hold tasks
   bool recording = false;
   bool confirmed = false;  // has seen a fence of this reign
   bool lost = false;       // its lease has run out by our count and it was not heard since
@@ -63,9 +63,9 @@
   wire::Tenure tenure;
   std::uint64_t counter = 0;
   wire::Fence seen;
-  double first_seen = 0;    // steady clock
-  double last_contact = 0;  // last new report or direct answer
-  double last_answered = 0; // last report answered: its lease cannot reach beyond lease_s from here
+  double first_seen = 0;     // steady clock
+  double last_contact = 0;   // last new report or direct answer
+  double last_answered = 0;  // last report answered: its lease cannot reach beyond lease_s from here
   double last_probe = 0;
   double doubt_at = 0;
   double idle_since = 0;
--- a/src/net/evhttp_server.cpp
+++ b/src/net/evhttp_server.cpp
@@ -32,7 +32,8 @@
     auto* headers = evhttp_request_get_output_headers(request);
     evhttp_add_header(headers, "Content-Type", "application/json");
     if (response.retry_after_s)
-      evhttp_add_header(headers, "Retry-After", fmt::format("{}", std::ceil(*response.retry_after_s)).c_str());
+      evhttp_add_header(headers, "Retry-After",
+                        fmt::format("{}", std::ceil(*response.retry_after_s)).c_str());
     evbuffer* body = evhttp_request_get_output_buffer(request);
     evbuffer_add(body, response.body.data(), response.body.size());
     evhttp_send_reply(request, response.status, nullptr, nullptr);
@@ -65,13 +66,15 @@
   if (colon != std::string::npos)
     std::from_chars(address.data() + colon + 1, address.data() + address.size(), port);
   if (!server_ || port == 0 || port > 65535 ||
-      evhttp_bind_socket(server_.get(), address.substr(0, colon).c_str(), static_cast<ev_uint16_t>(port)) != 0)
+      evhttp_bind_socket(server_.get(), address.substr(0, colon).c_str(), static_cast<ev_uint16_t>(port)) !=
+          0)
     throw std::runtime_error("cannot listen on " + address);
   evhttp_set_max_body_size(server_.get(), static_cast<ev_ssize_t>(wire::kMaxBody));
   evhttp_set_max_headers_size(server_.get(), static_cast<ev_ssize_t>(kMaxHeaders));
   evhttp_set_timeout(server_.get(), static_cast<int>(std::ceil(idle_timeout_s)));
-  evhttp_set_allowed_methods(server_.get(), EVHTTP_REQ_GET | EVHTTP_REQ_POST | EVHTTP_REQ_HEAD | EVHTTP_REQ_PUT |
-                                                EVHTTP_REQ_DELETE | EVHTTP_REQ_PATCH | EVHTTP_REQ_OPTIONS);
+  evhttp_set_allowed_methods(server_.get(), EVHTTP_REQ_GET | EVHTTP_REQ_POST | EVHTTP_REQ_HEAD |
+                                                EVHTTP_REQ_PUT | EVHTTP_REQ_DELETE | EVHTTP_REQ_PATCH |
+                                                EVHTTP_REQ_OPTIONS);
   evhttp_set_gencb(
       server_.get(),
       [](evhttp_request* request, void* self) { static_cast<EvhttpServer*>(self)->handle(request); }, this);
--- a/src/net/peer_link.cpp
+++ b/src/net/peer_link.cpp
@@ -31,7 +31,11 @@
 
 PeerLink::PeerLink(runtime::EventLoop& loop, runtime::Log log, std::string self, std::uint64_t incarnation,
                    const std::string& listen_address, std::vector<Sibling> siblings, double silence_s)
-    : loop_(loop), log_(std::move(log)), self_(std::move(self)), incarnation_(incarnation), silence_s_(silence_s) {
+    : loop_(loop),
+      log_(std::move(log)),
+      self_(std::move(self)),
+      incarnation_(incarnation),
+      silence_s_(silence_s) {
   int length = 0;
   const auto address = parse_address(listen_address, length);
   listener_.reset(evconnlistener_new_bind(
@@ -39,7 +43,8 @@
       [](evconnlistener*, evutil_socket_t socket, sockaddr*, int, void* link) {
         static_cast<PeerLink*>(link)->accept(socket);
       },
-      this, LEV_OPT_CLOSE_ON_FREE | LEV_OPT_REUSEABLE, -1, reinterpret_cast<const sockaddr*>(&address), length));
+      this, LEV_OPT_CLOSE_ON_FREE | LEV_OPT_REUSEABLE, -1, reinterpret_cast<const sockaddr*>(&address),
+      length));
   if (!listener_) throw std::runtime_error("cannot listen on " + listen_address);
   for (auto& sibling : siblings) {
     auto dialled = std::make_unique<Dialled>();
@@ -58,11 +63,12 @@
 
 void PeerLink::dial(Dialled& dialled) {
   dialled.connected = false;
-  dialled.buffer.reset(bufferevent_socket_new(loop_.base(), -1, BEV_OPT_CLOSE_ON_FREE | BEV_OPT_DEFER_CALLBACKS));
+  dialled.buffer.reset(
+      bufferevent_socket_new(loop_.base(), -1, BEV_OPT_CLOSE_ON_FREE | BEV_OPT_DEFER_CALLBACKS));
   if (!dialled.buffer) return redial_later(dialled);
   bufferevent_setcb(
-      dialled.buffer.get(), [](bufferevent* buffer, void*) { evbuffer_drain(bufferevent_get_input(buffer), SIZE_MAX); },
-      nullptr,
+      dialled.buffer.get(),
+      [](bufferevent* buffer, void*) { evbuffer_drain(bufferevent_get_input(buffer), SIZE_MAX); }, nullptr,
       [](bufferevent*, short what, void* context) {
         auto& self = *static_cast<Dialled*>(context);
         if ((what & BEV_EVENT_CONNECTED) != 0) {
@@ -81,7 +87,8 @@
   bufferevent_enable(dialled.buffer.get(), EV_READ | EV_WRITE);
   int length = 0;
   const auto address = parse_address(dialled.sibling.address, length);
-  if (bufferevent_socket_connect(dialled.buffer.get(), reinterpret_cast<const sockaddr*>(&address), length) != 0)
+  if (bufferevent_socket_connect(dialled.buffer.get(), reinterpret_cast<const sockaddr*>(&address), length) !=
+      0)
     redial_later(dialled);
 }
 
--- a/src/net/relay.cpp
+++ b/src/net/relay.cpp
@@ -31,7 +31,8 @@
     heard_[message.node] = {*beat, loop().now()};
   } else if (auto* call = std::get_if<wire::Call>(&message.frame)) {
     Request request{call->post ? Method::post : Method::get, std::move(call->path), std::move(call->body)};
-    ports_.handler(std::move(request), guard([this, node = message.node, id = call->id](const Response& response) {
+    ports_.handler(std::move(request),
+                   guard([this, node = message.node, id = call->id](const Response& response) {
                      wire::Answer answer{id, static_cast<std::uint16_t>(response.status), 0, response.body};
                      if (response.retry_after_s)
                        answer.retry_after_ms = static_cast<std::uint32_t>(*response.retry_after_s * 1000);
--- a/src/net/relay.hpp
+++ b/src/net/relay.hpp
@@ -30,9 +30,9 @@
  public:
   struct Ports {
     PeerPort& peers;
-    Handler handler;                                // serves what siblings relay
-    std::function<wire::Beat()> beat;               // what to tell the siblings now
-    std::function<void(wire::Progress)> progress;   // what the leader tells
+    Handler handler;                               // serves what siblings relay
+    std::function<wire::Beat()> beat;              // what to tell the siblings now
+    std::function<void(wire::Progress)> progress;  // what the leader tells
   };
 
   Relay(runtime::Loop& loop, std::vector<std::string> siblings, double beat_s, Ports ports);
--- a/src/runtime/event_loop.cpp
+++ b/src/runtime/event_loop.cpp
@@ -34,8 +34,8 @@
   std::random_device device;
   random_.seed((std::uint64_t{device()} << 32) ^ device());
   wake_.reset(event_new(
-      base_.get(), -1, 0, [](evutil_socket_t, short, void* self) { static_cast<EventLoop*>(self)->run_posted(); },
-      this));
+      base_.get(), -1, 0,
+      [](evutil_socket_t, short, void* self) { static_cast<EventLoop*>(self)->run_posted(); }, this));
 }
 
 double EventLoop::now() const {
--- a/src/state/store.cpp
+++ b/src/state/store.cpp
@@ -57,33 +57,34 @@
   }
   std::string path = "/keys?starts=" + wire::kRoot + "&most=" + std::to_string(kPage);
   if (!after.empty()) path += "&after=" + after;
-  send(Method::get, std::move(path), "", kAnswerS * 4, [this, first = after.empty()](const Response& response) {
-    Json page = response.status == 200 ? Json::parse(response.body, nullptr, false) : Json();
-    if (!page.is_object() || !page.contains("items")) {
-      list_timer_ = loop().after(loop().uniform(0.1, 0.3), [this] { list(""); });
-      return;
-    }
-    if (first) listing_epoch_ = wire::Epoch{wire::count_field(page, "epoch")};
-    std::string last;
-    for (const auto& item : page["items"]) {
-      last = wire::text_field(item, "k");
-      listing_[last] = Entry{item.value("data", Json()), wire::Stamp{wire::count_field(item, "stamp")}};
-    }
-    if (page.value("has_next", false) && !last.empty()) return list(last);
-    // What was known and is no longer listed was deleted meanwhile.
-    std::vector<Change> changes;
-    for (const auto& [key, stamp] : known_)
-      if (!listing_.contains(key) && stamp.value <= listing_epoch_.value)
-        changes.push_back({key, std::nullopt, wire::Stamp{listing_epoch_.value + 1}});
-    for (auto& [key, entry] : listing_) changes.push_back({key, std::move(entry.data), entry.stamp});
-    listing_.clear();
-    epoch_ = listing_epoch_;
-    publish(std::move(changes));
-    synced_ = true;
-    relist_ = false;
-    log_->info("state: read all keys at epoch {}", epoch_.value);
-    watch();
-  });
+  send(Method::get, std::move(path), "", kAnswerS * 4,
+       [this, first = after.empty()](const Response& response) {
+         Json page = response.status == 200 ? Json::parse(response.body, nullptr, false) : Json();
+         if (!page.is_object() || !page.contains("items")) {
+           list_timer_ = loop().after(loop().uniform(0.1, 0.3), [this] { list(""); });
+           return;
+         }
+         if (first) listing_epoch_ = wire::Epoch{wire::count_field(page, "epoch")};
+         std::string last;
+         for (const auto& item : page["items"]) {
+           last = wire::text_field(item, "k");
+           listing_[last] = Entry{item.value("data", Json()), wire::Stamp{wire::count_field(item, "stamp")}};
+         }
+         if (page.value("has_next", false) && !last.empty()) return list(last);
+         // What was known and is no longer listed was deleted meanwhile.
+         std::vector<Change> changes;
+         for (const auto& [key, stamp] : known_)
+           if (!listing_.contains(key) && stamp.value <= listing_epoch_.value)
+             changes.push_back({key, std::nullopt, wire::Stamp{listing_epoch_.value + 1}});
+         for (auto& [key, entry] : listing_) changes.push_back({key, std::move(entry.data), entry.stamp});
+         listing_.clear();
+         epoch_ = listing_epoch_;
+         publish(std::move(changes));
+         synced_ = true;
+         relist_ = false;
+         log_->info("state: read all keys at epoch {}", epoch_.value);
+         watch();
+       });
 }
 
 void Store::publish(std::vector<Change> changes) {
@@ -177,7 +178,8 @@
   auto served_now = std::exchange(waiting_, {});
   // A watch that does not block reads every change up to now: whatever was committed before this request
   // was sent is in its answer.
-  std::string path = "/watch?starts=" + wire::kRoot + "&after=" + std::to_string(epoch_.value) + "&block_ms=0";
+  std::string path =
+      "/watch?starts=" + wire::kRoot + "&after=" + std::to_string(epoch_.value) + "&block_ms=0";
   send(Method::get, std::move(path), "", kAnswerS,
        [this, served_now = std::move(served_now)](const Response& response) {
          const bool fine = !relist_ && apply_news(response);
@@ -206,29 +208,32 @@
     if (write.hold) item["hold"] = *write.hold;
     writes.push_back(std::move(item));
   }
-  send(Method::post, "/commit", Json{{"when", std::move(when)}, {"writes", std::move(writes)}}.dump(), kAnswerS,
-       [this, done = std::move(message.done)](const Response& response) {
+  send(Method::post, "/commit", Json{{"when", std::move(when)}, {"writes", std::move(writes)}}.dump(),
+       kAnswerS, [this, done = std::move(message.done)](const Response& response) {
          CommitResult result;
          const Json body = Json::parse(response.body, nullptr, false);
-         if (body.is_object() && body.contains("epoch")) result.epoch = wire::Epoch{wire::count_field(body, "epoch")};
+         if (body.is_object() && body.contains("epoch"))
+           result.epoch = wire::Epoch{wire::count_field(body, "epoch")};
          if (response.status == 200)
            result.outcome = Outcome::done;
          else if (response.status == 409)
            result.outcome = Outcome::conflict;
          else if (response.status != 0)
            result.outcome = Outcome::refused;
-         if (response.status == 400) log_->error("state: transaction refused as malformed: {}", response.body);
+         if (response.status == 400)
+           log_->error("state: transaction refused as malformed: {}", response.body);
          done(result);
        });
 }
 
 void Store::on(Fetch& message) {
-  send(Method::get, "/keys/" + message.key, "", kAnswerS, [done = std::move(message.done)](const Response& response) {
-    if (response.status == 404) return done(true, std::nullopt);
-    const Json body = response.status == 200 ? Json::parse(response.body, nullptr, false) : Json();
-    if (!body.is_object() || !body.contains("data")) return done(false, std::nullopt);
-    done(true, Entry{body["data"], wire::Stamp{wire::count_field(body, "stamp")}});
-  });
+  send(Method::get, "/keys/" + message.key, "", kAnswerS,
+       [done = std::move(message.done)](const Response& response) {
+         if (response.status == 404) return done(true, std::nullopt);
+         const Json body = response.status == 200 ? Json::parse(response.body, nullptr, false) : Json();
+         if (!body.is_object() || !body.contains("data")) return done(false, std::nullopt);
+         done(true, Entry{body["data"], wire::Stamp{wire::count_field(body, "stamp")}});
+       });
 }
 
 void Store::on(OpenLease& message) {
--- a/src/wire/messages.cpp
+++ b/src/wire/messages.cpp
@@ -36,8 +36,7 @@
                                            {ExitCause::no_room, "no_room"},
                                            {ExitCause::busy, "busy"},
                                            {ExitCause::no_such, "no_such"}}};
-constexpr NameTable<Verb, 3> kVerbs{
-    {{Verb::start, "start"}, {Verb::stop, "stop"}, {Verb::forget, "forget"}}};
+constexpr NameTable<Verb, 3> kVerbs{{{Verb::start, "start"}, {Verb::stop, "stop"}, {Verb::forget, "forget"}}};
 
 template <class E, std::size_t N>
 const char* name_in(const NameTable<E, N>& table, E value) {
--- a/src/wire/records.cpp
+++ b/src/wire/records.cpp
@@ -69,10 +69,10 @@
 }
 
 RentalRecord parse_rental_record(const Json& object) {
-  RentalRecord record{text_field(object, "flavor"), text_field(object, "rack_room"),
-                      flag_field(object, "reclaimable"),
-                      static_cast<std::uint32_t>(count_field(object, "count")),
-                      object.at("at").get<double>(), std::nullopt};
+  RentalRecord record{
+      text_field(object, "flavor"),      text_field(object, "rack_room"),
+      flag_field(object, "reclaimable"), static_cast<std::uint32_t>(count_field(object, "count")),
+      object.at("at").get<double>(),     std::nullopt};
   if (!absent(object, "hosts")) record.hosts = object.at("hosts").get<std::vector<std::string>>();
   return record;
 }
--- a/src/workers/desk.cpp
+++ b/src/workers/desk.cpp
@@ -13,7 +13,11 @@
 }  // namespace
 
 Desk::Desk(runtime::Loop& loop, runtime::Log log, std::string node, double report_s, Ports ports)
-    : Actor(loop), log_(std::move(log)), node_(std::move(node)), report_s_(report_s), ports_(std::move(ports)) {}
+    : Actor(loop),
+      log_(std::move(log)),
+      node_(std::move(node)),
+      report_s_(report_s),
+      ports_(std::move(ports)) {}
 
 void Desk::on(Changed& message) {
   for (const auto& change : *message.changes) {
@@ -32,8 +36,7 @@
   }
   if (ports_.leading()) return ports_.take(std::move(report), std::move(message.reply));
   // No right to act for the controllers: never 200 from here.
-  if (message.relayed || leader_.empty() || leader_ == node_)
-    return message.reply({503, "{}", 1.0});
+  if (message.relayed || leader_.empty() || leader_ == node_) return message.reply({503, "{}", 1.0});
   redirect(report.host, message);
 }
 
@@ -42,8 +45,7 @@
   auto& sent = sent_[host];
   const bool came_back = sent.controller == leader_ && now - sent.at < kRememberReports * report_s_;
   sent = {leader_, now};
-  if (!came_back)
-    return message.reply({421, Json{{"controller", leader_}}.dump(), std::nullopt});
+  if (!came_back) return message.reply({421, Json{{"controller", leader_}}.dump(), std::nullopt});
   // It cannot reach the leader: pass its report on rather than send it round until its lease ends.
   log_->debug("worker {}: came back, passing its report on to {}", host.value, leader_);
   ports_.relay.tell(net::RelayCall{leader_, std::move(message.request), kRelayReports * report_s_,
--- a/tests/planner_test.cpp
+++ b/tests/planner_test.cpp
@@ -1,11 +1,11 @@
 // The paper's algorithms.
+#include "planner/planner.hpp"
+
 #include <gtest/gtest.h>
 
 #include <numeric>
 #include <random>
 
-#include "planner/planner.hpp"
-
 namespace bankhill::planner {
 namespace {
 
@@ -62,7 +62,8 @@
   const std::vector<Offer> offers = {offer("m", 8, 0.4, 0.1), offer("l", 64, 3.2, 0.9)};
   std::mt19937 random(4);
   for (int round = 0; round < 200; ++round) {
-    const auto result = plan({work(4, 20 + random() % 200, 60, true), work(40, random() % 9, 100, true)}, offers, 0.3);
+    const auto result =
+        plan({work(4, 20 + random() % 200, 60, true), work(40, random() % 9, 100, true)}, offers, 0.3);
     const double spent = result.spot[0] * 0.1 + result.spot[1] * 0.9;
     EXPECT_LE(spent, result.budget * 0.3 + 0.1 / 2 + 0.9 / 2) << "beyond rounding";
   }
--- a/tests/settings_test.cpp
+++ b/tests/settings_test.cpp
@@ -1,8 +1,8 @@
 // Settings: errors name the field.
-#include <gtest/gtest.h>
-
 #include "app/settings.hpp"
 
+#include <gtest/gtest.h>
+
 namespace bankhill::app {
 namespace {
 
@@ -25,8 +25,9 @@
 }
 
 TEST(Settings, ErrorsNameTheField) {
-  for (const auto* pointer : {"/host_name", "/api_addr", "/external/state", "/params/workers/lease_s",
-                              "/params/teams/0/name", "/params/state/txn_ops", "/params/cloud", "/siblings"}) {
+  for (const auto* pointer :
+       {"/host_name", "/api_addr", "/external/state", "/params/workers/lease_s", "/params/teams/0/name",
+        "/params/state/txn_ops", "/params/cloud", "/siblings"}) {
     auto broken = good();
     const wire::Json::json_pointer where(pointer);
     broken[where.parent_pointer()].erase(where.back());
--- a/tests/sim/world.cpp
+++ b/tests/sim/world.cpp
@@ -24,7 +24,8 @@
 
 app::Settings site(int node) {
   Json params{{"teams",
-               {{{"name", "red"}, {"cpus", 16}, {"cpus_max", 40}}, {{"name", "blue"}, {"cpus", 12}, {"cpus_max", 24}}}},
+               {{{"name", "red"}, {"cpus", 16}, {"cpus_max", 40}},
+                {{"name", "blue"}, {"cpus", 12}, {"cpus_max", 24}}}},
               {"workers", {{"report_s", 3}, {"lease_s", 20}, {"cancel_s", 40}}},
               {"state", {{"rps", 300}, {"write_rps", 100}, {"value_kb", 8}, {"txn_ops", 16}}},
               {"cloud", {{"rps", 10}, {"list_lag_s", kListLag}}}};
@@ -43,10 +44,26 @@
 
 Json catalogue() {
   return Json{{"flavors",
-               {{{"name", "small"}, {"cores", 4}, {"accelerators", 0}, {"ram_gb", 16}, {"local_gb", 30},
-                 {"pull_gb_per_s", 1.0}, {"rate", 0.4}, {"low_price", 0.1}, {"boot_s", 8}, {"rack_rooms", kZones}},
-                {{"name", "large"}, {"cores", 16}, {"accelerators", 0}, {"ram_gb", 64}, {"local_gb", 60},
-                 {"pull_gb_per_s", 1.0}, {"rate", 1.5}, {"low_price", 0.4}, {"boot_s", 10}, {"rack_rooms", {"za"}}}}}};
+               {{{"name", "small"},
+                 {"cores", 4},
+                 {"accelerators", 0},
+                 {"ram_gb", 16},
+                 {"local_gb", 30},
+                 {"pull_gb_per_s", 1.0},
+                 {"rate", 0.4},
+                 {"low_price", 0.1},
+                 {"boot_s", 8},
+                 {"rack_rooms", kZones}},
+                {{"name", "large"},
+                 {"cores", 16},
+                 {"accelerators", 0},
+                 {"ram_gb", 64},
+                 {"local_gb", 60},
+                 {"pull_gb_per_s", 1.0},
+                 {"rate", 1.5},
+                 {"low_price", 0.4},
+                 {"boot_s", 10},
+                 {"rack_rooms", {"za"}}}}}};
 }
 
 const wire::Amounts& size_of(const std::string& flavor) {
@@ -129,7 +146,9 @@
  public:
   SimPeers(World& world, int node) : world_(world), node_(node) {}
   bool send(const std::string& node, const wire::Frame& frame) override;
-  void listen(std::function<void(const std::string&, wire::Frame)> receiver) override { receiver_ = std::move(receiver); }
+  void listen(std::function<void(const std::string&, wire::Frame)> receiver) override {
+    receiver_ = std::move(receiver);
+  }
   void receive(const std::string& from, const std::string& bytes) {
     wire::FrameReader reader;
     reader.append(bytes);
@@ -225,7 +244,8 @@
 
 int World::leader() const {
   for (int node = 0; node < kNodes; ++node)
-    if (const auto& there = nodes_[static_cast<std::size_t>(node)]; there && there->node.leading()) return node;
+    if (const auto& there = nodes_[static_cast<std::size_t>(node)]; there && there->node.leading())
+      return node;
   return -1;
 }
 
@@ -238,7 +258,8 @@
   return found != links_.end() && now_ < found->second.until ? &found->second : nullptr;
 }
 
-void World::carry(const std::string& from, const std::string& to, double latency, std::function<void()> deliver) {
+void World::carry(const std::string& from, const std::string& to, double latency,
+                  std::function<void()> deliver) {
   const auto* cut = link(from, to);
   if (cut == nullptr) return at(now_ + latency, std::move(deliver));
   // Held packets come when the cut is over, even if the sender has given up.
@@ -250,7 +271,9 @@
   const bool state = address == settings_.state;
   const bool cloud = address == settings_.cloud;
   const std::string peer = state ? "state" : cloud ? "cloud" : address;
-  const double latency = state ? (chance(0.02) ? 0.3 : uniform(0.001, 0.005)) : cloud ? uniform(0.05, 0.15) : 0.001;
+  const double latency = state   ? (chance(0.02) ? 0.3 : uniform(0.001, 0.005))
+                         : cloud ? uniform(0.05, 0.15)
+                                 : 0.001;
   auto back = [this, me, peer, latency, reply = std::move(reply)](Response response) {
     carry(peer, me, latency, [reply, response = std::move(response)] { reply(response); });
   };
@@ -382,7 +405,8 @@
     auto answer = [this, after, later, once, node] {
       if (std::exchange(*once, true)) return;
       // Open watches wait while the service is out or refuses the node.
-      const double until = std::max(state_down_until_, refused_until_.contains(node) ? refused_until_[node] : 0.0);
+      const double until =
+          std::max(state_down_until_, refused_until_.contains(node) ? refused_until_[node] : 0.0);
       at(std::max(now_, until), [this, after, later] { later({200, news(after).dump(), std::nullopt}); });
     };
     watchers_.push_back(answer);
@@ -411,7 +435,8 @@
     const auto name = body["rental"].get<std::string>();
     if (!rentals_.contains(name)) {
       const bool spot = body["reclaimable"].get<bool>();
-      const auto have = std::count_if(machines_.begin(), machines_.end(), [](const auto& m) { return !m.second.dead; });
+      const auto have =
+          std::count_if(machines_.begin(), machines_.end(), [](const auto& m) { return !m.second.dead; });
       int count = std::min<int>(body["count"].get<int>(), 14 - static_cast<int>(have));
       if (spot && now_ < no_spot_until_) count = 0;
       if (count <= 0) return {503, R"({"error":"no capacity"})", std::nullopt};
@@ -440,8 +465,14 @@
   Json hosts = Json::array();
   for (const auto& [host, machine] : machines_)
     if (now_ - machine.born > kListLag)
-      hosts.push_back({{"uid", host}, {"address", address_of(host)}, {"flavor", machine.flavor}, {"rack_room", machine.zone},
-                       {"reclaimable", machine.spot}, {"phase", machine.dead ? "failed" : machine.up ? "running" : "booting"},
+      hosts.push_back({{"uid", host},
+                       {"address", address_of(host)},
+                       {"flavor", machine.flavor},
+                       {"rack_room", machine.zone},
+                       {"reclaimable", machine.spot},
+                       {"phase", machine.dead ? "failed"
+                                 : machine.up ? "running"
+                                              : "booting"},
                        {"held_s", now_ - machine.born}});
   return {200, Json{{"hosts", hosts}, {"has_next", false}}.dump(), std::nullopt};
 }
@@ -516,7 +547,8 @@
   };
   at(now_ + kReportDrop, [this, host = machine.host, exchange, next_node] {
     const auto found = machines_.find(host);
-    if (found != machines_.end() && found->second.exchange == exchange && found->second.in_flight) next_node();
+    if (found != machines_.end() && found->second.exchange == exchange && found->second.in_flight)
+      next_node();
   });
   auto receive = [this, host = machine.host, exchange, tenure, sent, next_node](const Response& response) {
     const auto found = machines_.find(host);
@@ -603,7 +635,8 @@
   machine.tasks[member] = task;
   if (task.phase == MemberPhase::exited) return;
   const bool cached = !machine.images.insert(job->second.spec.bundle).second;
-  at(now_ + (cached ? 0.05 : 1.5), [this, host = machine.host, member, try_no] { image_ready(host, member, try_no.value); });
+  at(now_ + (cached ? 0.05 : 1.5),
+     [this, host = machine.host, member, try_no] { image_ready(host, member, try_no.value); });
 }
 
 void World::image_ready(const std::string& host, const MemberId& member, std::uint64_t try_no) {
@@ -611,9 +644,11 @@
   if (found == machines_.end() || found->second.dead) return;
   auto& machine = found->second;
   if (now_ < machine.hung_until)
-    return at(machine.hung_until + 0.001, [this, host, member, try_no] { image_ready(host, member, try_no); });
+    return at(machine.hung_until + 0.001,
+              [this, host, member, try_no] { image_ready(host, member, try_no); });
   const auto task = machine.tasks.find(member);
-  if (task == machine.tasks.end() || task->second.try_no.value != try_no || task->second.phase != MemberPhase::pulling)
+  if (task == machine.tasks.end() || task->second.try_no.value != try_no ||
+      task->second.phase != MemberPhase::pulling)
     return;
   if (now_ - machine.lease_from > settings_.lease_s) return;  // its session is over
   auto& job = jobs_.at(member.job.value);
@@ -623,7 +658,9 @@
   check_start(machine, member);
   want_report(machine);
   if (job.spec.shape == wire::Shape::daemon) return;
-  const double run = job.completed.contains(member.index) ? 0.01 : machine.sick || job.broken ? 0.5 : job.run_s;
+  const double run = job.completed.contains(member.index) ? 0.01
+                     : machine.sick || job.broken         ? 0.5
+                                                          : job.run_s;
   at(now_ + run, [this, host, member, try_no] { task_ended(host, member, try_no); });
 }
 
@@ -634,7 +671,8 @@
   if (now_ < machine.hung_until)
     return at(machine.hung_until + 0.3, [this, host, member, try_no] { task_ended(host, member, try_no); });
   const auto task = machine.tasks.find(member);
-  if (task == machine.tasks.end() || task->second.try_no.value != try_no || task->second.phase != MemberPhase::running)
+  if (task == machine.tasks.end() || task->second.try_no.value != try_no ||
+      task->second.phase != MemberPhase::running)
     return;
   auto& job = jobs_.at(member.job.value);
   const bool fails = (machine.sick || job.broken) && !job.completed.contains(member.index);
@@ -646,7 +684,8 @@
 
 // ---- users
 
-void World::user_call(const std::string&, Request request, double timeout, std::function<void(Response)> done) {
+void World::user_call(const std::string&, Request request, double timeout,
+                      std::function<void(Response)> done) {
   auto once = std::make_shared<bool>(false);
   auto answer = [once, done = std::move(done)](const Response& response) {
     if (!std::exchange(*once, true)) done(response);
@@ -696,28 +735,31 @@
 
 void World::user_submit(const std::string& uid) {
   auto& job = jobs_.at(uid);
-  user_call(uid, {Method::post, "/submissions", to_json(job.spec).dump()}, 5, [this, uid, asked = now_](const Response& response) {
-    auto& mine = jobs_.at(uid);
-    if (response.status == 200 || response.status == 201) {
-      const bool first = !std::exchange(mine.accepted, true);
-      check_phase(mine, response, asked);
-      if (first) user_poll(uid);
-      return;
-    }
-    if (response.status == 400 || response.status == 422) {
-      violate("forgotten", uid + " refused: " + response.body);
-      return;
-    }
-    at(now_ + uniform(1, 2), [this, uid] { user_submit(uid); });
-  });
+  user_call(uid, {Method::post, "/submissions", to_json(job.spec).dump()}, 5,
+            [this, uid, asked = now_](const Response& response) {
+              auto& mine = jobs_.at(uid);
+              if (response.status == 200 || response.status == 201) {
+                const bool first = !std::exchange(mine.accepted, true);
+                check_phase(mine, response, asked);
+                if (first) user_poll(uid);
+                return;
+              }
+              if (response.status == 400 || response.status == 422) {
+                violate("forgotten", uid + " refused: " + response.body);
+                return;
+              }
+              at(now_ + uniform(1, 2), [this, uid] { user_submit(uid); });
+            });
 }
 
 // Answers may overtake one another: what counts is what was told before the request was sent.
 void World::check_phase(SimJob& job, const Response& response, double asked) {
   const auto phase = Json::parse(response.body)["phase"].get<std::string>();
   const auto& uid = job.spec.uid.value;
-  if (job.told_done && job.told_done_at < asked && phase != "done") violate("went_back", uid + " was done, now " + phase);
-  if (job.told_cancelled > 0 && job.told_cancelled < asked && phase != "cancelled") violate("went_back", uid + " was cancelled, now " + phase);
+  if (job.told_done && job.told_done_at < asked && phase != "done")
+    violate("went_back", uid + " was done, now " + phase);
+  if (job.told_cancelled > 0 && job.told_cancelled < asked && phase != "cancelled")
+    violate("went_back", uid + " was cancelled, now " + phase);
   if (phase == "cancelled") {
     if (!job.cancel_asked) violate("went_back", uid + " cancelled by nobody");
     if (job.told_cancelled == 0) job.told_cancelled = now_;
@@ -729,11 +771,12 @@
 }
 
 void World::user_poll(const std::string& uid) {
-  user_call(uid, {Method::get, "/submissions/" + uid, ""}, 2, [this, uid, asked = now_](const Response& response) {
-    auto& job = jobs_.at(uid);
-    if (response.status == 200) check_phase(job, response, asked);
-    if (response.status == 404) violate("forgotten", uid + " answered 404");
-  });
+  user_call(uid, {Method::get, "/submissions/" + uid, ""}, 2,
+            [this, uid, asked = now_](const Response& response) {
+              auto& job = jobs_.at(uid);
+              if (response.status == 200) check_phase(job, response, asked);
+              if (response.status == 404) violate("forgotten", uid + " answered 404");
+            });
   const auto& job = jobs_.at(uid);
   const bool over = job.told_done || job.told_cancelled > 0;
   at(now_ + (over ? uniform(10, 40) : uniform(2.5, 5)), [this, uid] { user_poll(uid); });
@@ -743,17 +786,19 @@
   auto& job = jobs_.at(uid);
   if (!job.accepted) return at(now_ + 2, [this, uid] { user_cancel(uid); });
   job.cancel_asked = true;
-  user_call(uid, {Method::post, "/submissions/" + uid + "/withdraw", "{}"}, 5, [this, uid, asked = now_](const Response& response) {
-    auto& mine = jobs_.at(uid);
-    if (response.status == 200) return check_phase(mine, response, asked);
-    at(now_ + 1, [this, uid] { user_cancel(uid); });
-  });
+  user_call(uid, {Method::post, "/submissions/" + uid + "/withdraw", "{}"}, 5,
+            [this, uid, asked = now_](const Response& response) {
+              auto& mine = jobs_.at(uid);
+              if (response.status == 200) return check_phase(mine, response, asked);
+              at(now_ + 1, [this, uid] { user_cancel(uid); });
+            });
 }
 
 void World::ask_unknown() {
-  user_call("", {Method::get, "/submissions/job-9" + std::to_string(pick(99999)), ""}, 2, [this](const Response& response) {
-    if (response.status == 200) violate("invented", response.body);
-  });
+  user_call("", {Method::get, "/submissions/job-9" + std::to_string(pick(99999)), ""}, 2,
+            [this](const Response& response) {
+              if (response.status == 200) violate("invented", response.body);
+            });
 }
 
 // ---- faults
@@ -864,7 +909,8 @@
       if (!other.on(task, now_, settings_.lease_s)) continue;
       const auto& its = jobs_.at(task.job.value).spec;
       cores[its.owner] += its.need.cores;
-      if (its.owner == spec.owner) held += " " + task.text() + "@" + host + "=" + std::to_string(its.need.cores);
+      if (its.owner == spec.owner)
+        held += " " + task.text() + "@" + host + "=" + std::to_string(its.need.cores);
       if (task.job == member.job) ++zones[other.zone];
       if (task == member && host != machine.host)
         violate("ran_twice", member.text() + " on " + host + " and " + machine.host);
@@ -872,12 +918,15 @@
   }
   for (const auto& team : settings_.teams)
     if (cores[team.name] > team.limit.cores + 1e-6) violate("quota", team.name + ":" + held);
-  if (spec.flavors && std::find(spec.flavors->begin(), spec.flavors->end(), machine.flavor) == spec.flavors->end())
+  if (spec.flavors &&
+      std::find(spec.flavors->begin(), spec.flavors->end(), machine.flavor) == spec.flavors->end())
     violate("wrong_place", member.text() + " on flavor " + machine.flavor);
-  if (spec.rack_room && *spec.rack_room != machine.zone) violate("wrong_place", member.text() + " in " + machine.zone);
+  if (spec.rack_room && *spec.rack_room != machine.zone)
+    violate("wrong_place", member.text() + " in " + machine.zone);
   if (!spec.reclaimable && machine.spot) violate("wrong_place", member.text() + " on spot");
   if (spec.together && zones.size() > 1) violate("wrong_place", member.text() + " not together");
-  if (spec.scatter && zones[machine.zone] > (spec.members + 1) / 2) violate("wrong_place", member.text() + " not scattered");
+  if (spec.scatter && zones[machine.zone] > (spec.members + 1) / 2)
+    violate("wrong_place", member.text() + " not scattered");
 }
 
 void World::check_step() {
@@ -886,7 +935,8 @@
     if (!machine.up || machine.dead) continue;
     for (const auto& [member, task] : machine.tasks) {
       const auto& job = jobs_.at(member.job.value);
-      if (job.told_cancelled > 0 && now_ > job.told_cancelled + settings_.cancel_s && machine.on(member, now_, settings_.lease_s))
+      if (job.told_cancelled > 0 && now_ > job.told_cancelled + settings_.cancel_s &&
+          machine.on(member, now_, settings_.lease_s))
         violate("ran_cancelled", member.text() + " on " + host);
     }
   }
--- a/tests/sim/world.hpp
+++ b/tests/sim/world.hpp
@@ -71,7 +71,8 @@
   bool on(const wire::MemberId& member, double now, double lease_s) const {
     const auto found = tasks.find(member);
     return up && !dead && now - lease_from <= lease_s && found != tasks.end() &&
-           (found->second.phase == wire::MemberPhase::running || found->second.phase == wire::MemberPhase::flushing);
+           (found->second.phase == wire::MemberPhase::running ||
+            found->second.phase == wire::MemberPhase::flushing);
   }
 };
 
--- a/tests/sim_test.cpp
+++ b/tests/sim_test.cpp
@@ -16,7 +16,8 @@
   for (const auto& [uid, job] : world.jobs()) {
     EXPECT_TRUE(job.accepted) << uid << " was never accepted";
     if (job.spec.shape != wire::Shape::sweep || job.cancel_asked || job.broken) continue;
-    EXPECT_TRUE(job.told_done) << uid << " did not finish: " << job.completed.size() << " of " << job.spec.members;
+    EXPECT_TRUE(job.told_done) << uid << " did not finish: " << job.completed.size() << " of "
+                               << job.spec.members;
   }
 }
 
@@ -140,7 +141,8 @@
   const int leader = world.leader();
   ASSERT_GE(leader, 0);
   const auto starts = world.starts();
-  for (const auto* zone : {"workers-za", "workers-zb"}) world.cut("node-" + std::to_string(leader), zone, 35, false);
+  for (const auto* zone : {"workers-za", "workers-zb"})
+    world.cut("node-" + std::to_string(leader), zone, 35, false);
   world.run(85);
   for (const auto& host : before) EXPECT_TRUE(world.machines().contains(host)) << host << " was released";
   EXPECT_EQ(world.starts(), starts) << "tasks were started again";
--- a/tests/smoke_test.cpp
+++ b/tests/smoke_test.cpp
@@ -45,7 +45,8 @@
     posix_spawn_file_actions_t actions;
     posix_spawn_file_actions_init(&actions);
     for (const int descriptor : {1, 2})
-      posix_spawn_file_actions_addopen(&actions, descriptor, output.c_str(), O_WRONLY | O_CREAT | O_APPEND, 0600);
+      posix_spawn_file_actions_addopen(&actions, descriptor, output.c_str(), O_WRONLY | O_CREAT | O_APPEND,
+                                       0600);
     EXPECT_EQ(posix_spawn(&id_, argv[0], &actions, nullptr, argv.data(), environ), 0);
     posix_spawn_file_actions_destroy(&actions);
   }
@@ -74,12 +75,12 @@
     signal(SIGPIPE, SIG_IGN);  // a controller that is killed leaves broken connections
     state_port = free_port();
     cloud_port = free_port();
-    state = std::make_unique<net::EvhttpServer>(loop, loopback(state_port), 60, [this](net::Request request, net::Reply reply) {
-      world.serve_state(request, std::move(reply));
-    });
-    cloud = std::make_unique<net::EvhttpServer>(loop, loopback(cloud_port), 60, [this](net::Request request, const net::Reply& reply) {
-      world.serve_cloud(request, reply);
-    });
+    state = std::make_unique<net::EvhttpServer>(
+        loop, loopback(state_port), 60,
+        [this](net::Request request, net::Reply reply) { world.serve_state(request, std::move(reply)); });
+    cloud = std::make_unique<net::EvhttpServer>(
+        loop, loopback(cloud_port), 60,
+        [this](net::Request request, const net::Reply& reply) { world.serve_cloud(request, reply); });
     for (int node = 0; node < sim::World::kNodes; ++node) {
       ports.push_back(free_port());
       peers.push_back(free_port());
@@ -125,15 +126,18 @@
     root["siblings"] = wire::Json::array();
     for (std::size_t other = 0; other < ports.size(); ++other)
       if (other != node)
-        root["siblings"].push_back({{"host_name", "node-" + std::to_string(other)}, {"addr", loopback(peers[other])}});
-    const std::string path = testing::TempDir() + "bankhill-" + std::to_string(getpid()) + "-" + std::to_string(node);
+        root["siblings"].push_back(
+            {{"host_name", "node-" + std::to_string(other)}, {"addr", loopback(peers[other])}});
+    const std::string path =
+        testing::TempDir() + "bankhill-" + std::to_string(getpid()) + "-" + std::to_string(node);
     std::ofstream(path) << root.dump();
     return path;
   }
 
   int status_of(net::Request request, std::size_t node) {
     int status = -1;
-    client.send(loopback(ports[node]), std::move(request), 3, [&](const net::Response& response) { status = response.status; });
+    client.send(loopback(ports[node]), std::move(request), 3,
+                [&](const net::Response& response) { status = response.status; });
     until(5, [&] { return status >= 0; });
     return status;
   }
@@ -156,9 +160,12 @@
 TEST_F(Smoke, ServesJobsThroughTheDeathOfAController) {
   std::vector<std::unique_ptr<Process>> nodes;
   for (std::size_t node = 0; node < ports.size(); ++node)
-    nodes.push_back(std::make_unique<Process>(std::vector<std::string>{BANKHILL_BINARY, "--config", settings(node)}));
+    nodes.push_back(
+        std::make_unique<Process>(std::vector<std::string>{BANKHILL_BINARY, "--config", settings(node)}));
   for (std::size_t node = 0; node < ports.size(); ++node)
-    ASSERT_TRUE(until(15, [&] { return status_of({net::Method::get, "/healthz", ""}, node) == 200; })) << node;
+    ASSERT_TRUE(until(15, [&] {
+      return status_of({net::Method::get, "/healthz", ""}, node) == 200;
+    })) << node;
   EXPECT_EQ(status_of({net::Method::get, "/submissions/job-77", ""}, 0), 404);
   EXPECT_EQ(status_of({net::Method::get, "/nowhere", ""}, 0), 404);
   EXPECT_EQ(status_of({net::Method::get, "/submissions", ""}, 0), 405);
--- a/tests/wire_test.cpp
+++ b/tests/wire_test.cpp
@@ -49,10 +49,10 @@
 
 TEST(Job, RefusesValuesOutOfRange) {
   const std::vector<std::pair<const char*, Json>> bad = {
-      {"uid", "job-"},      {"uid", "job-12a"},     {"uid", "task-1"},  {"members", 0},       {"members", 100001},
-      {"members", -1},      {"members", 2.5},       {"cores", -1.0},    {"cores", 0},         {"cores", 1e300},
-      {"ram_gb", -0.5},     {"guess_s", -1},        {"due_s", -1},      {"shape", "gang"},    {"rank", "urgent"},
-      {"flavors", {1, 2}},  {"together", 1},        {"size_gb", "big"}, {"uid", "job-1/2"},   {"bundle", ""}};
+      {"uid", "job-"},     {"uid", "job-12a"}, {"uid", "task-1"},  {"members", 0},     {"members", 100001},
+      {"members", -1},     {"members", 2.5},   {"cores", -1.0},    {"cores", 0},       {"cores", 1e300},
+      {"ram_gb", -0.5},    {"guess_s", -1},    {"due_s", -1},      {"shape", "gang"},  {"rank", "urgent"},
+      {"flavors", {1, 2}}, {"together", 1},    {"size_gb", "big"}, {"uid", "job-1/2"}, {"bundle", ""}};
   for (const auto& [name, value] : bad) {
     auto object = job();
     object[name] = value;
@@ -103,8 +103,9 @@
 }
 
 std::vector<Frame> frames() {
-  return {Hello{~0ULL >> 1, "node-1"}, Beat{41, true, false}, Call{7, true, "/submissions", std::string(5000, 'x')},
-          Answer{7, 201, 1500, "{}"}, Progress{3, 13, "job-000412", "no machine has room yet"}};
+  return {Hello{~0ULL >> 1, "node-1"}, Beat{41, true, false},
+          Call{7, true, "/submissions", std::string(5000, 'x')}, Answer{7, 201, 1500, "{}"},
+          Progress{3, 13, "job-000412", "no machine has room yet"}};
 }
 
 TEST(Frames, RoundTripInPiecesOfAnySize) {
@@ -128,7 +129,8 @@
   for (int round = 0; round < 20000; ++round) {
     auto bytes = encode(frames()[round % 5]);
     const int changes = 1 + static_cast<int>(random() % 4);
-    for (int i = 0; i < changes; ++i) bytes[random() % std::min<std::size_t>(bytes.size(), 40)] = static_cast<char>(random());
+    for (int i = 0; i < changes; ++i)
+      bytes[random() % std::min<std::size_t>(bytes.size(), 40)] = static_cast<char>(random());
     if (random() % 3 == 0) bytes.resize(random() % bytes.size());
     FrameReader reader;
     reader.append(bytes);
@@ -143,7 +145,8 @@
 
 TEST(Frames, FixedByteOrder) {
   const auto bytes = encode(Beat{0x0102030405060708ULL, true, false});
-  EXPECT_EQ(bytes, std::string("\x42\x48\x01\x01\x00\x00\x00\x0a\x01\x02\x03\x04\x05\x06\x07\x08\x01\x00", 18));
+  EXPECT_EQ(bytes,
+            std::string("\x42\x48\x01\x01\x00\x00\x00\x0a\x01\x02\x03\x04\x05\x06\x07\x08\x01\x00", 18));
 }
 
 }  // namespace
