--- a/src/leader/fleet.cpp
+++ b/src/leader/fleet.cpp
@@ -106,17 +106,14 @@
   const double now = loop().now();
   for (const auto& [host, machine] : machines_) {
     if (machine.draining || machine.releasing) continue;
-    double boot = 0;
-    for (const auto& offer : offers)
-      if (offer.flavor.name == machine.flavor) boot = offer.flavor.boot_s;
+    const auto* type = flavor(machine.flavor);
+    const double boot = type == nullptr ? 0 : type->boot_s;
     if (!machine.up && now - machine.first_seen > kBootLate * boot) continue;
     there[machine.reclaimable ? 1 : 0] += machine.size.cores;
   }
   for (const auto& [name, rental] : rentals_)
-    if (!rental.record.hosts)
-      for (const auto& offer : offers)
-        if (offer.flavor.name == rental.record.flavor)
-          there[rental.record.reclaimable ? 1 : 0] += offer.flavor.size.cores * rental.record.count;
+    if (const auto* type = flavor(rental.record.flavor); type != nullptr && !rental.record.hosts)
+      there[rental.record.reclaimable ? 1 : 0] += type->size.cores * rental.record.count;
   double missing[2] = {wanted[0] - there[0], wanted[1] - there[1]};
   // Whatever covers what is missing at the least cost: a machine much larger than that would stand idle for
   // the most part. What a type cannot give is asked of the next.
@@ -269,8 +266,7 @@
         machine.rack_room = rental.record.rack_room;
         machine.reclaimable = rental.record.reclaimable;
         machine.first_seen = now;
-        for (const auto& flavor : flavors_)
-          if (flavor.name == machine.flavor) machine.size = flavor.size;
+        set_size(machine);
       }
       if (!machine.recorded) pending = true;
     }
@@ -292,9 +288,8 @@
   bool doubtful = false;
   for (auto& [host, machine] : machines_) {
     if (!machine.up) {
-      double boot = 60;
-      for (const auto& flavor : flavors_)
-        if (flavor.name == machine.flavor) boot = flavor.boot_s;
+      const auto* type = flavor(machine.flavor);
+      const double boot = type == nullptr ? 60 : type->boot_s;
       if (now - machine.first_seen > kBootNever * boot) release(machine, "it never came up");
       continue;
     }
@@ -412,8 +407,7 @@
             machine.rack_room = listed.rack_room;
             machine.reclaimable = listed.reclaimable;
             machine.first_seen = now - listed.held_s;
-            for (const auto& flavor : flavors_)
-              if (flavor.name == machine.flavor) machine.size = flavor.size;
+            set_size(machine);
           }
           if (listed.phase == "failed") release(machine, "the cloud says it failed");
         }
@@ -422,11 +416,9 @@
 
 // An idle machine is worth keeping for about as long as another takes to boot, the less the dearer it is.
 double Leader::idle_limit(const Machine& machine) const {
-  for (const auto& flavor : flavors_)
-    if (flavor.name == machine.flavor)
-      return settings_.idle_boots * flavor.boot_s *
-             (machine.reclaimable ? 1 : flavor.low_price / flavor.rate);
-  return settings_.round_s;
+  const auto* type = flavor(machine.flavor);
+  if (type == nullptr) return settings_.round_s;
+  return settings_.idle_boots * type->boot_s * (machine.reclaimable ? 1 : type->low_price / type->rate);
 }
 
 void Leader::return_idle() {
--- a/src/leader/leader.cpp
+++ b/src/leader/leader.cpp
@@ -32,6 +32,16 @@
   return nullptr;
 }
 
+const wire::Flavor* Leader::flavor(const std::string& name) const {
+  const auto found = std::find_if(flavors_.begin(), flavors_.end(),
+                                  [&](const wire::Flavor& item) { return item.name == name; });
+  return found == flavors_.end() ? nullptr : &*found;
+}
+
+void Leader::set_size(Machine& machine) const {
+  if (const auto* type = flavor(machine.flavor)) machine.size = type->size;
+}
+
 bool Leader::valid() const {
   // Invariant 2, and: a leader that cannot learn of cancellations must not keep workers' leases alive.
   const double deaf = (settings_.cancel_s - settings_.lease_s) / 3;
@@ -104,8 +114,7 @@
       machine.reclaimable = record.reclaimable;
       machine.up = machine.recorded = true;
       machine.first_seen = machine.last_contact = machine.idle_since = now;
-      for (const auto& flavor : flavors_)
-        if (flavor.name == record.flavor) machine.size = flavor.size;
+      set_size(machine);
       machines_.emplace(machine.host, std::move(machine));
     } else if (has_prefix(key, wire::kRentals)) {
       rentals_[key.substr(wire::kRentals.size())].record = wire::parse_rental_record(entry.data);
@@ -215,9 +224,7 @@
     if (!flavors || flavors->empty() || !valid()) return;
     const bool first = flavors_.empty();
     flavors_ = std::move(*flavors);
-    for (auto& [host, machine] : machines_)
-      for (const auto& flavor : flavors_)
-        if (flavor.name == machine.flavor) machine.size = flavor.size;
+    for (auto& [host, machine] : machines_) set_size(machine);
     // Kept in the state service too: a restart during a cloud outage can still decide.
     store(wire::kCatalogueKey, to_json(flavors_));
     if (first) {
--- a/src/leader/leader.hpp
+++ b/src/leader/leader.hpp
@@ -116,6 +116,8 @@
   void fetch_catalogue();
   void publish_progress();
   const Team* team(const std::string& name) const;
+  const wire::Flavor* flavor(const std::string& name) const;  // nothing if the catalogue lacks it
+  void set_size(model::Machine& machine) const;
 
   // Stored intents (intents.cpp)
   void store(const std::string& key, std::optional<wire::Json> data, std::function<void()> then = {});
@@ -130,6 +132,7 @@
   void apply_member(model::Machine& machine, const wire::MemberReport& member);
   void exited(model::Machine& machine, const wire::MemberReport& member);
   void finish(model::Job& job, std::uint32_t index, std::function<void()> then);
+  std::function<void()> mark_stored(const model::Machine& machine, const wire::MemberId& member);
   void failed(model::Machine& machine, model::Job& job, wire::ExitCause cause);
   void adopt(model::Machine& machine, const wire::MemberReport& member);
   void unbind(model::Machine& machine, const wire::MemberId& member);
@@ -153,7 +156,7 @@
   bool zone_allows(const model::Job& job, const std::string& zone) const;
   model::Machine* pick(const model::Job& job, bool reclaimable);
   void bind(model::Machine& machine, model::Job& job, std::uint32_t index);
-  bool make_room(const model::Job& job);
+  void make_room(const model::Job& job);
   double task_s(const model::Job& job) const;
 
   // Fleet (fleet.cpp)
--- a/src/leader/placement.cpp
+++ b/src/leader/placement.cpp
@@ -123,10 +123,9 @@
     // Earliest completion: all types run a task equally fast, the image fetch differs. Of equals the
     // fullest, so that others become free to be returned.
     double fetch = 0;
-    if (!machine.images.contains(job.spec.bundle))
-      for (const auto& flavor : flavors_)
-        if (flavor.name == machine.flavor && flavor.pull_gb_per_s > 0)
-          fetch = job.spec.size_gb / flavor.pull_gb_per_s;
+    if (const auto* type = flavor(machine.flavor);
+        !machine.images.contains(job.spec.bundle) && type != nullptr && type->pull_gb_per_s > 0)
+      fetch = job.spec.size_gb / type->pull_gb_per_s;
     // A service stays: on a large machine it would keep all of it rented.
     const std::tuple score{fetch, job.service() ? machine.size.cores : 0, machine.room().cores};
     if (best == nullptr || score < best_score) {
@@ -194,7 +193,7 @@
 
 // Preemption: stops tasks of lower rank, or of a team above its guarantee when this job's team is within
 // its own, on the one machine where the least progress is lost.
-bool Leader::make_room(const Job& job) {
+void Leader::make_room(const Job& job) {
   // Stopped work is mostly lost, and borrowed room comes back by itself as tasks end: taken back by force
   // is only what long tasks would not give back soon, when a whole round has not brought enough.
   const bool guaranteed = within_guarantee(job) && loop().wall() - job.accepted_at > settings_.round_s;
@@ -214,7 +213,7 @@
       wire::Amounts soon = room;
       for (const auto& [member, bind] : machine.binds)
         if (bind.stopping) soon += bind.need;
-      if (job.spec.need.fits(soon)) return true;
+      if (job.spec.need.fits(soon)) return;
       continue;
     }
     for (const auto& [member, bind] : machine.binds) {
@@ -241,14 +240,13 @@
     best_victims = std::move(victims);
     best_loss = costs;
   }
-  if (best == nullptr) return false;
+  if (best == nullptr) return;
   for (const auto& member : best_victims) {
     auto& bind = best->binds.at(member);
     const auto& spec = jobs_.at(member.job).spec;
     log_->info("job {}: {} makes room for it", job.spec.uid.value, member.text());
     stop(*best, bind, spec.snapshot_every_s > 0 ? spec.flush_s : 0);
   }
-  return true;
 }
 
 }  // namespace bankhill::leader
--- a/src/leader/reports.cpp
+++ b/src/leader/reports.cpp
@@ -58,8 +58,7 @@
     machine.rack_room = report.rack_room;
     machine.reclaimable = report.reclaimable;
     machine.idle_since = loop().now();
-    for (const auto& flavor : flavors_)
-      if (flavor.name == machine.flavor) machine.size = flavor.size;
+    set_size(machine);
     log_->info("machine {}: up ({} in {}{})", machine.host.value, machine.flavor, machine.rack_room,
                machine.reclaimable ? ", spot" : "");
   }
@@ -189,12 +188,7 @@
       const bool elsewhere = job->second.marks[member.member.index] == model::kBound;
       if (elsewhere) return;  // the other attempt will exit with done by itself
       entry->second.stored = false;
-      finish(job->second, member.member.index, [this, host = machine.host, id = member.member] {
-        const auto at = machines_.find(host);
-        if (at == machines_.end()) return;
-        if (const auto left = at->second.leftovers.find(id); left != at->second.leftovers.end())
-          left->second.stored = true;
-      });
+      finish(job->second, member.member.index, mark_stored(machine, member.member));
     }
     return;
   }
@@ -253,12 +247,7 @@
     job->second.failed_on.clear();
     job->second.reason.clear();
     leftover.stored = false;  // invariant 7
-    finish(job->second, member.member.index, [this, host = machine.host, id = member.member] {
-      const auto at = machines_.find(host);
-      if (at == machines_.end()) return;
-      if (const auto left = at->second.leftovers.find(id); left != at->second.leftovers.end())
-        left->second.stored = true;
-    });
+    finish(job->second, member.member.index, mark_stored(machine, member.member));
   } else if (live && member.cause != ExitCause::halted) {
     log_->info("machine {}: {} exited with {}", machine.host.value, member.member.text(),
                name_of(member.cause));
@@ -267,6 +256,16 @@
   machine.leftovers[member.member] = leftover;
 }
 
+// To be run once an exit is in the store: the attempt may then be forgotten (invariant 7).
+std::function<void()> Leader::mark_stored(const Machine& machine, const wire::MemberId& member) {
+  return [this, host = machine.host, member] {
+    const auto at = machines_.find(host);
+    if (at == machines_.end()) return;
+    if (const auto left = at->second.leftovers.find(member); left != at->second.leftovers.end())
+      left->second.stored = true;
+  };
+}
+
 void Leader::failed(Machine& machine, Job& job, ExitCause cause) {
   job.reason = std::string("a task failed: ") + name_of(cause);
   job.progress_dirty = true;
