--- a/src/app/main.cpp
+++ b/src/app/main.cpp
@@ -20,6 +20,7 @@
 constexpr int kExitFailure = 1;
 constexpr int kExitSettings = 2;
 constexpr double kClientTimeoutS = 5;
+constexpr double kIdleShare = 0.2;  // of the sockets: kept open to workers between two requests
 
 std::string log_level() {
   const char* level = std::getenv("LOG_LEVEL");
@@ -37,11 +38,12 @@
   const auto log = runtime::make_log("bankhill", log_level());
   runtime::EventLoop loop;
   const std::uint64_t incarnation = loop.random()() >> 1;
-  net::EvhttpClient client(loop, log);
+  net::EvhttpClient client(loop, log,
+                           static_cast<std::size_t>(kIdleShare * static_cast<double>(settings.sockets)));
   std::vector<net::Sibling> siblings;
   for (const auto& sibling : settings.siblings) siblings.push_back({sibling.host_name, sibling.addr});
   net::PeerLink peers(loop, log, settings.host_name, incarnation, settings.peer_listen, std::move(siblings),
-                      settings.report_s);
+                      settings.pace_s);
   app::Node node(loop, log, settings, incarnation, client, peers);
   // Workers and users may be silent between requests for several report intervals.
   net::EvhttpServer server(
@@ -56,7 +58,7 @@
 // One request to a controller, for the client commands; prints the answer.
 int ask(const std::string& server, net::Method method, const std::string& path, const std::string& body) {
   runtime::EventLoop loop;
-  net::EvhttpClient client(loop, runtime::make_log("bankhill", log_level()));
+  net::EvhttpClient client(loop, runtime::make_log("bankhill", log_level()), 1);
   net::Response answer;
   client.send(server, {method, path, body}, kClientTimeoutS, [&](net::Response response) {
     answer = std::move(response);
--- a/src/app/node.cpp
+++ b/src/app/node.cpp
@@ -11,15 +11,18 @@
   result.node = settings.host_name;
   result.incarnation = incarnation;
   result.report_s = settings.report_s;
+  result.pace_s = settings.pace_s;
   result.lease_s = settings.lease_s;
   result.cancel_s = settings.cancel_s;
   result.list_lag_s = settings.list_lag_s;
   result.txn_ops = settings.state_txn_ops;
+  result.value_kb = settings.state_value_kb;
+  result.final_states_kept = settings.own.final_states_kept;
   for (const auto& team : settings.teams) result.teams.push_back({team.name, team.guarantee, team.limit});
   result.within_s = settings.within_s;
   result.alpha = settings.own.alpha;
   result.phi = settings.own.phi;
-  result.round_s = settings.own.round_reports * settings.report_s;
+  result.round_s = settings.own.round_paces * settings.pace_s;
   result.idle_boots = settings.own.idle_boots;
   return result;
 }
@@ -41,9 +44,10 @@
 Node::Node(runtime::Loop& loop, runtime::Log log, const Settings& settings, std::uint64_t incarnation,
            net::Client& client, net::PeerPort& peers)
     : store_(loop, client, log, settings.state,
-             {settings.state_rps, settings.state_write_rps, settings.state_value_kb, settings.state_txn_ops}),
+             {settings.state_rps, settings.state_write_rps, settings.state_value_kb, settings.state_txn_ops,
+              settings.controllers}),
       cloud_(loop, client, log, settings.cloud, settings.cloud_rps),
-      relay_(loop, names(settings), settings.report_s / 6,
+      relay_(loop, names(settings), settings.pace_s / 6,
              {peers,
               [this](net::Request request, net::Reply reply) {
                 route(std::move(request), std::move(reply), true);
@@ -65,7 +69,7 @@
                  gateway_.tell(gateway::Progressed{progress});
                  relay_.tell(net::Broadcast{std::move(progress)});
                }}),
-      desk_(loop, log, settings.host_name, settings.report_s,
+      desk_(loop, log, settings.host_name, settings.report_s, settings.pace_s,
             {relay_, [this] { return leader_.valid(); },
              [this](wire::Report report, net::Reply reply) {
                leader_.tell(leader::Reported{std::move(report), std::move(reply)});
--- a/src/app/settings.cpp
+++ b/src/app/settings.cpp
@@ -14,6 +14,8 @@
 
 namespace {
 
+constexpr double kPacesInLease = 14;
+
 const Json& section(const Json& object, const char* name) {
   const auto found = object.find(name);
   if (found == object.end()) throw BadSettings(std::string("settings: field '") + name + "' is missing");
@@ -57,6 +59,7 @@
   settings.peer_listen = address(root, "peer_listen");
   for (const auto& item : list(root, "siblings"))
     settings.siblings.push_back({wire::text_field(item, "host_name"), address(item, "addr")});
+  settings.controllers = settings.siblings.size() + 1;
   const auto& external = section(root, "external");
   settings.cloud = address(external, "cloud");
   settings.state = address(external, "state");
@@ -80,6 +83,7 @@
   settings.report_s = positive(workers, "report_s");
   settings.lease_s = positive(workers, "lease_s");
   settings.cancel_s = positive(workers, "cancel_s");
+  settings.pace_s = std::min(settings.report_s, settings.lease_s / kPacesInLease);
   // The leader's lease lives in this margin (docs/SAFETY.md, invariant 2).
   if (settings.cancel_s <= settings.lease_s)
     throw BadSettings("settings: field 'cancel_s' must be above 'lease_s'");
@@ -91,6 +95,11 @@
   const auto& cloud = section(params, "cloud");
   settings.cloud_rps = positive(cloud, "rps");
   settings.list_lag_s = wire::amount_field(cloud, "list_lag_s");
+  if (!wire::absent(params, "machine_limits")) {
+    const auto& limits = section(params, "machine_limits");
+    if (!wire::absent(limits, "fd_limit"))
+      settings.sockets = static_cast<std::size_t>(positive(limits, "fd_limit"));
+  }
   return settings;
 }
 
@@ -117,7 +126,7 @@
   const std::vector<Key> keys = {
       {"alpha", 0, 1, [&](double value) { own.alpha = value; }},
       {"phi", 0, 1, [&](double value) { own.phi = value; }},
-      {"round_reports", 1, 1000, [&](double value) { own.round_reports = value; }},
+      {"round_paces", 1, 1000, [&](double value) { own.round_paces = value; }},
       {"idle_boots", 0, 1000, [&](double value) { own.idle_boots = value; }},
       {"final_states_kept", 100, 1e7,
        [&](double value) { own.final_states_kept = static_cast<std::size_t>(value); }},
--- a/src/app/settings.hpp
+++ b/src/app/settings.hpp
@@ -28,10 +28,10 @@
 
 // What operators may set themselves; every value has a default.
 struct OperatorSettings {
-  double alpha = 0.8;        // part of the budget for spot machines
-  double phi = 0.1;          // reclaim share above which a spot type is avoided
-  double round_reports = 5;  // planning round, in report intervals
-  double idle_boots = 1;     // idle time before a spot machine is returned, in boot times of its type
+  double alpha = 0.8;      // part of the budget for spot machines
+  double phi = 0.1;        // reclaim share above which a spot type is avoided
+  double round_paces = 5;  // planning round, in paces
+  double idle_boots = 1;   // idle time before a spot machine is returned, in boot times of its type
   std::size_t final_states_kept = 20000;
 };
 
@@ -46,7 +46,11 @@
   std::vector<TeamSettings> teams;
   // Class -> times in which its jobs should be done, rising.
   std::map<std::string, std::vector<double>> within_s;
+  std::size_t controllers = 1;
   double report_s = 0;
+  // What is asked again, waited for or given up goes by this: the report interval where reports are frequent,
+  // and otherwise as fine as a worker's lease demands.
+  double pace_s = 0;
   double lease_s = 0;
   double cancel_s = 0;
   double state_rps = 0;
@@ -55,6 +59,7 @@
   std::size_t state_txn_ops = 0;
   double cloud_rps = 0;
   double list_lag_s = 0;
+  std::size_t sockets = 1024;  // that a controller may have open
   OperatorSettings own;
 };
 
--- a/src/cloud/cloud.cpp
+++ b/src/cloud/cloud.cpp
@@ -78,7 +78,14 @@
 
 void Cloud::list_page(std::string after, std::vector<wire::ListedHost> so_far,
                       std::function<void(std::optional<std::vector<wire::ListedHost>>)> done) {
-  if (!allowed(kReserve * rps_)) return done(std::nullopt);
+  if (!allowed(kReserve * rps_)) {
+    // Rentals and releases go first; a list of many pages is not begun anew for that.
+    page_timer_ = loop().after(1 / rps_, guard([this, after = std::move(after), so_far = std::move(so_far),
+                                                done = std::move(done)]() mutable {
+                                 list_page(std::move(after), std::move(so_far), std::move(done));
+                               }));
+    return;
+  }
   std::string path = "/machines?most=" + std::to_string(kPage);
   if (!after.empty()) path += "&after=" + after;
   client_.send(
--- a/src/cloud/cloud.hpp
+++ b/src/cloud/cloud.hpp
@@ -59,6 +59,7 @@
   std::string address_;
   double rps_;
   net::RateLimit requests_;
+  runtime::Timer page_timer_;
 };
 
 }  // namespace bankhill::cloud
--- a/src/leader/fleet.cpp
+++ b/src/leader/fleet.cpp
@@ -10,9 +10,13 @@
 using model::Machine;
 
 namespace {
-// Ratios to the report interval.
-constexpr double kProbeAfter = 1.7;   // silence after which a machine is asked directly
-constexpr double kSilentAfter = 3;    // silence after which it is given up
+constexpr double kLatestReport =
+    1.25;  // report intervals: the protocol's report interval varies by a quarter
+// Beyond the latest report, in paces.
+constexpr double kProbeAfter = 0.45;            // silence after which a machine is asked directly
+constexpr double kSilentAfter = 1.75;           // silence after which it is given up
+constexpr std::uint32_t kProbesUnanswered = 2;  // with at least so many unanswered
+constexpr double kAskedAgain = 3;     // paces after which one that this reign never heard is given up
 constexpr double kMassShare = 0.4;    // more machines silent than this: it is our network, not theirs
 constexpr double kWindowShare = 0.5;  // of the time left until a job is due
 constexpr double kRounding = 1e-6;
@@ -22,6 +26,8 @@
 constexpr double kBootNever = 5;        // given up
 constexpr double kStockoutPause = 0.5;  // in rounds, doubled up to the next
 constexpr double kStockoutMost = 4;
+constexpr int kRentalsAtOnce = 8;
+constexpr std::size_t kListPage = 500;  // the protocol
 constexpr double kDriftAllowance = 1.002;
 constexpr double kAllowanceS = 1;
 constexpr double kLeastChargeS = 60;  // the protocol: a machine that is deleted costs at least this
@@ -32,7 +38,7 @@
 void Leader::plan_soon() {
   if (plan_scheduled_) return;
   plan_scheduled_ = true;
-  const double wait = std::max(0.0, last_plan_ + kPlanGap * settings_.report_s - loop().now());
+  const double wait = std::max(0.0, last_plan_ + kPlanGap * settings_.pace_s - loop().now());
   plan_timer_ = loop().after(wait, guard([this] {
                                plan_scheduled_ = false;
                                plan_fleet();
@@ -44,10 +50,10 @@
   if (found == reclaims_.end() || found->second.machine_s < kMinReclaimHistory) return true;
   double task_seconds = 0;
   double tasks = 0;
-  for (const auto& [id, job] : jobs_)
-    if (job.live() && !job.service()) {
-      task_seconds += task_s(job) * job.spec.members;
-      tasks += job.spec.members;
+  for (const auto& [id, job] : live_)
+    if (!job->service()) {
+      task_seconds += task_s(*job) * job->spec.members;
+      tasks += job->spec.members;
     }
   if (tasks == 0) return true;
   // The share of tasks that a reclaim would hit stands in for the paper's out-of-bid probability.
@@ -57,8 +63,9 @@
 std::vector<planner::Work> Leader::current_work(bool& waiting) {
   std::vector<planner::Work> work;
   std::map<std::string, double> cores;
-  for (const auto& [id, job] : jobs_) {
-    if (!job.live() || loop().now() < job.blocked_until) continue;
+  for (const auto& [id, pointer] : live_) {
+    const auto& job = *pointer;
+    if (loop().now() < job.blocked_until) continue;
     planner::Work item;
     item.need = job.spec.need;
     item.tasks = job.ready + job.bound;
@@ -103,14 +110,7 @@
     wanted[1] += plan.spot[i] * offers[i].flavor.size.cores;
   }
   double there[2] = {0, 0};
-  const double now = loop().now();
-  for (const auto& [host, machine] : machines_) {
-    if (machine.draining || machine.releasing) continue;
-    const auto* type = flavor(machine.flavor);
-    const double boot = type == nullptr ? 0 : type->boot_s;
-    if (!machine.up && now - machine.first_seen > kBootLate * boot) continue;
-    there[machine.reclaimable ? 1 : 0] += machine.size.cores;
-  }
+  for (const auto& [pool, state] : fleet_.pools()) there[pool.reclaimable ? 1 : 0] += state.sums.cores;
   for (const auto& [name, rental] : rentals_)
     if (const auto* type = flavor(rental.record.flavor); type != nullptr && !rental.record.hosts)
       there[rental.record.reclaimable ? 1 : 0] += type->size.cores * rental.record.count;
@@ -140,16 +140,17 @@
   }
   // Ready work that no machine can take earns its type at least one machine.
   std::vector<bool> earned(offers.size(), false);
-  for (const auto& [id, job] : jobs_) {
+  for (const auto& [id, pointer] : ready_) {
+    const auto& job = *pointer;
+    if (missing[0] > 0 || missing[1] > 0) break;
     if (!may_start(job) || !team_has_room(job)) continue;
-    const bool coming = std::any_of(machines_.begin(), machines_.end(), [&](const auto& entry) {
-      const auto& machine = entry.second;
-      return !machine.draining && !machine.releasing && planner::allows(job.spec.flavors, machine.flavor) &&
-             (job.spec.reclaimable || !machine.reclaimable) &&
-             (!job.spec.rack_room || *job.spec.rack_room == machine.rack_room) &&
-             job.spec.need.fits(machine.up ? machine.room() : machine.size);
+    const bool coming = std::any_of(fleet_.pools().begin(), fleet_.pools().end(), [&](const auto& entry) {
+      const auto& [pool, state] = entry;
+      return model::allows(job.spec, pool) &&
+             ((state.sums.coming > 0 && job.spec.need.fits(state.size)) ||
+              (!state.open.empty() && job.spec.need.fits(state.open.rbegin()->machine->room())));
     });
-    if (coming || missing[0] > 0 || missing[1] > 0) continue;
+    if (coming) continue;
     planner::Work item;
     item.need = job.spec.need;
     item.flavors = job.spec.flavors;
@@ -181,25 +182,29 @@
   if (zones.empty()) return 0;
   // Evenly over the zones, beginning with the one that has the fewest.
   std::map<std::string, double> have;
-  for (const auto& [host, machine] : machines_) have[machine.rack_room] += machine.size.cores;
+  for (const auto& [pool, state] : fleet_.pools()) have[pool.rack_room] += state.sums.cores;
   std::sort(zones.begin(), zones.end(),
             [&](const std::string& a, const std::string& b) { return have[a] < have[b]; });
   double asked = 0;
   for (std::size_t i = 0; i < zones.size(); ++i) {
-    const double share = std::ceil((count - asked) / static_cast<double>(zones.size() - i));
-    if (share < 1) break;
-    const std::string name = "r-" + std::to_string(first_term_) + "-" + std::to_string(++rentals_made_);
-    auto& rental = rentals_[name];
-    rental.record = {
-        offer.flavor.name, zones[i],
-        reclaimable,       static_cast<std::uint32_t>(std::min<double>(share, cloud::kMaxRental)),
-        loop().wall(),     std::nullopt};
-    asked += rental.record.count;
-    log_->info("rental {}: {} x {} in {}{}", name, rental.record.count, offer.flavor.name, zones[i],
-               reclaimable ? ", spot" : "");
-    rental.asking = true;
-    // Invariant 3: stored before it is requested.
-    store(wire::rental_key(name), to_json(rental.record), [this, name] { ask(name); });
+    double share = std::ceil((count - asked) / static_cast<double>(zones.size() - i));
+    // The cloud gives so many a request, and so many requests at a time are enough to see whether it has
+    // them.
+    for (int request = 0; request < kRentalsAtOnce && share >= 1; ++request) {
+      const std::string name = "r-" + std::to_string(first_term_) + "-" + std::to_string(++rentals_made_);
+      auto& rental = rentals_[name];
+      rental.record = {
+          offer.flavor.name, zones[i],
+          reclaimable,       static_cast<std::uint32_t>(std::min<double>(share, cloud::kMaxRental)),
+          loop().wall(),     std::nullopt};
+      asked += rental.record.count;
+      share -= rental.record.count;
+      log_->info("rental {}: {} x {} in {}{}", name, rental.record.count, offer.flavor.name, zones[i],
+                 reclaimable ? ", spot" : "");
+      rental.asking = true;
+      // Invariant 3: stored before it is requested.
+      store(wire::rental_key(name), to_json(rental.record), Patience::none, [this, name] { ask(name); });
+    }
   }
   return asked;
 }
@@ -222,7 +227,7 @@
   if (found == rentals_.end()) return;
   auto& rental = found->second;
   rental.asking = false;
-  rental.retry_at = loop().now() + settings_.report_s / 2;
+  rental.retry_at = loop().now() + settings_.pace_s / 2;
   if (result.kind == cloud::Rented::Kind::trouble) return;
   const Pool pool{rental.record.flavor, rental.record.rack_room, rental.record.reclaimable};
   if (result.kind == cloud::Rented::Kind::no_capacity || result.hosts.size() < rental.record.count) {
@@ -236,13 +241,13 @@
   }
   if (result.hosts.empty()) {
     rentals_.erase(found);
-    store(wire::rental_key(name), std::nullopt);
+    store(wire::rental_key(name), std::nullopt, Patience::tidying);
     return;
   }
   rental.record.hosts.emplace();
   for (const auto& host : result.hosts) rental.record.hosts->push_back(host.value);
-  store(wire::rental_key(name), to_json(rental.record));
-  settle_rentals();
+  store(wire::rental_key(name), to_json(rental.record), Patience::machines);
+  next_settle_ = loop().now();
 }
 
 void Leader::settle_rentals() {
@@ -258,15 +263,15 @@
     for (const auto& text : *rental.record.hosts) {
       const wire::HostId host{text};
       if (gone_.contains(host)) continue;
-      auto [entry, added] = machines_.try_emplace(host);
-      auto& machine = entry->second;
+      const auto [entry, added] = fleet_.add(host);
+      auto& machine = *entry;
       if (added) {
-        machine.host = host;
         machine.flavor = rental.record.flavor;
         machine.rack_room = rental.record.rack_room;
         machine.reclaimable = rental.record.reclaimable;
         machine.first_seen = now;
         set_size(machine);
+        fleet_.refresh(machine);
       }
       if (!machine.recorded) pending = true;
     }
@@ -274,92 +279,107 @@
   }
   for (const auto& name : over) {
     rentals_.erase(name);
-    store(wire::rental_key(name), std::nullopt);
+    store(wire::rental_key(name), std::nullopt, Patience::tidying);
   }
 }
 
-void Leader::watch_machines() {
+void Leader::watch_machines(double share) {
   const double now = loop().now();
-  const double probe = kProbeAfter * settings_.report_s;
-  const double silent = kSilentAfter * settings_.report_s;
-  std::map<std::string, std::size_t> up;  // by zone
-  std::map<std::string, std::size_t> quiet_in;
-  std::vector<Machine*> quiet;
-  bool doubtful = false;
-  for (auto& [host, machine] : machines_) {
-    if (!machine.up) {
-      const auto* type = flavor(machine.flavor);
-      const double boot = type == nullptr ? 60 : type->boot_s;
-      if (now - machine.first_seen > kBootNever * boot) release(machine, "it never came up");
-      continue;
-    }
-    ++up[machine.rack_room];
-    const double silence = now - machine.last_contact;
-    if (silence > probe && now - machine.last_probe > probe / 2) send_direct(machine, {});
-    if (silence > silent) quiet.push_back(&machine);
-    if (silence > probe) ++quiet_in[machine.rack_room];
-    // Invariant 5: no earlier leader answered after this reign began, so the lease has run out by now.
-    const double last_renewal = std::max(machine.last_answered, reign_since_);
-    if (now > last_renewal + settings_.lease_s * kDriftAllowance + kAllowanceS) {
-      if (!machine.confirmed) {
-        log_->info("machine {}: unconfirmed and its lease has run out", host.value);
-        machine.confirmed = true;
-        machine.draining = true;
-        machine.drain_reason = "its lease ran out unheard";
-      }
-      // Once, and nothing is placed there until it is heard again: a task told to start in a session that
-      // is only assumed could run although its lease seems to have run out long ago.
-      if (!std::exchange(machine.lost, true)) {
-        const wire::Tenure next{machine.tenure.value + 1};
-        new_tenure(machine, next);
-        machine.tenure = next;
-        machine.counter = 0;
-      }
-    }
-    const bool heard_since = machine.last_contact > machine.doubt_at;
-    for (const auto& [member, bind] : machine.binds)
-      doubtful = doubtful || (heard_since && bind.stopping && bind.doubt.value == term_);
-    for (const auto& [member, leftover] : machine.leftovers)
-      doubtful = doubtful || (heard_since && leftover.doubt.value == term_);
-    if (machine.draining && machine.binds.empty() && machine.confirmed)
-      release(machine, machine.drain_reason);
-    if (machine.warned_until && now > *machine.warned_until) release(machine, "its notice has run out");
-  }
-  // Many of a zone at once: rather the network; releasing them would end work that goes on there. One that
-  // this reign never heard holds up others' tasks and is not waited for.
-  const auto cut_off = [&](const std::string& zone) {
-    return quiet_in[zone] >= 2 &&
-           static_cast<double>(quiet_in[zone]) > kMassShare * static_cast<double>(up[zone]);
-  };
-  for (auto* machine : quiet) {
-    if (machine->confirmed && cut_off(machine->rack_room) && now - machine->last_contact < settings_.lease_s)
-      continue;
-    if (!machine->warned_until && machine->reclaimable && !machine->releasing)
-      reclaims_[machine->flavor].count += 1;
-    release(*machine, "it is silent");
-  }
+  doubtful_ = false;
+  fleet_.visit(share, [this](Machine& machine) { watch(machine); });
   // A direct start in doubt is made void by a new term (invariant 6).
-  if (doubtful && !raising_ && now - raised_at_ > 2 * settings_.report_s) {
+  if (doubtful_ && !raising_ && now - raised_at_ > 2 * settings_.pace_s) {
     raised_at_ = now;
     raising_ = true;
     ports_.raise_term();
-  } else if (raising_ && now - raised_at_ > 2 * settings_.report_s) {
+  } else if (raising_ && now - raised_at_ > 2 * settings_.pace_s) {
     raising_ = false;
   }
 }
 
+void Leader::watch(Machine& machine) {
+  const double now = loop().now();
+  if (!machine.up) {
+    const auto* type = flavor(machine.flavor);
+    const double boot = type == nullptr ? kLeastChargeS : type->boot_s;
+    const double booting = now - machine.first_seen;
+    if (!machine.late && booting > kBootLate * boot) {
+      machine.late = true;
+      fleet_.refresh(machine);
+    }
+    if (booting > kBootNever * boot) release(machine, "never came up");
+    return;
+  }
+  const double latest = kLatestReport * settings_.report_s;
+  const double probe = latest + kProbeAfter * settings_.pace_s;
+  const double silent = latest + kSilentAfter * settings_.pace_s;
+  const double silence = now - machine.last_contact;
+  if (silence > probe && now - machine.last_probe > settings_.pace_s) send_direct(machine, {});
+  if (!machine.quiet && silence > probe) {
+    machine.quiet = true;
+    fleet_.refresh(machine);
+  }
+  // Invariant 5: no earlier leader answered after this reign began, so the lease has run out by now.
+  const double last_renewal = std::max(machine.last_answered, reign_since_);
+  if (now > last_renewal + settings_.lease_s * kDriftAllowance + kAllowanceS) {
+    if (!machine.confirmed) {
+      log_->debug("machine {}: unconfirmed and its lease has run out", machine.host.value);
+      machine.confirmed = true;
+      machine.draining = true;
+      machine.drain_reason = "lease ran out unheard";
+    }
+    // Once, and nothing is placed there until it is heard again: a task told to start in a session that
+    // is only assumed could run although its lease seems to have run out long ago.
+    if (!std::exchange(machine.lost, true)) {
+      const wire::Tenure next{machine.tenure.value + 1};
+      new_tenure(machine, next);
+      machine.tenure = next;
+      machine.counter = 0;
+    }
+    fleet_.refresh(machine);
+  }
+  const bool heard_since = machine.last_contact > machine.doubt_at;
+  for (const auto& [member, bind] : machine.binds)
+    doubtful_ = doubtful_ || (heard_since && bind.stopping && bind.doubt.value == term_);
+  for (const auto& [member, leftover] : machine.leftovers)
+    doubtful_ = doubtful_ || (heard_since && leftover.doubt.value == term_);
+  if (machine.draining && machine.binds.empty() && machine.confirmed)
+    return release(machine, machine.drain_reason);
+  if (machine.warned_until && now > *machine.warned_until) return release(machine, "its notice has run out");
+  if (return_idle(machine)) return;
+  // One that this reign never heard holds up others' tasks: it is waited for less long.
+  const bool given_up =
+      machine.probes_unanswered >= kProbesUnanswered &&
+      (machine.confirmed ? silence > silent : now - reign_since_ > kAskedAgain * settings_.pace_s);
+  if (!machine.confirmed && machine.probes_unanswered > 0 && now - machine.last_probe > settings_.pace_s)
+    send_direct(machine, {});
+  if (!given_up) return;
+  // Many of a zone at once: rather the network; releasing them would end work that goes on there.
+  const auto zone = fleet_.zone(machine.rack_room);
+  const auto unheard = zone.quiet + zone.unconfirmed;
+  if (unheard >= 2 && static_cast<double>(unheard) > kMassShare * static_cast<double>(zone.up) &&
+      now - std::max(machine.last_contact, reign_since_) < settings_.lease_s)
+    return;
+  if (!machine.warned_until && machine.reclaimable && !machine.releasing)
+    reclaims_[machine.flavor].count += 1;
+  release(machine, "silent");
+}
+
 void Leader::release(Machine& machine, const std::string& reason) {
   if (std::exchange(machine.releasing, true)) return;
-  log_->info("machine {}: releasing it, {} ({} tasks bound)", machine.host.value, reason,
-             machine.binds.size());
+  log_->debug("machine {}: releasing it, {} ({} tasks bound)", machine.host.value, reason,
+              machine.binds.size());
+  ++tally_["machines released (" + reason + ")"];
+  to_release_.insert(machine.host);
+  fleet_.refresh(machine);
   loop().post(guard([this] { send_releases(); }));
 }
 
 void Leader::send_releases() {
   if (releasing_ || !valid()) return;
   std::vector<wire::HostId> hosts;
-  for (const auto& [host, machine] : machines_)
-    if (machine.releasing && hosts.size() < cloud::kMaxRelease) hosts.push_back(host);
+  for (const auto& host : to_release_)
+    if (hosts.size() < cloud::kMaxRelease) hosts.push_back(host);
   if (hosts.empty()) return;
   releasing_ = true;
   ports_.cloud.tell(cloud::Release{hosts, guard([this, hosts, reign = first_term_](bool done) {
@@ -372,22 +392,25 @@
 
 void Leader::gone(const wire::HostId& host) {
   const double now = loop().now();
-  std::erase_if(gone_, [&](const auto& entry) { return now - entry.second > kGoneKeptS; });
-  gone_[host] = now;
-  const auto found = machines_.find(host);
-  if (found == machines_.end()) return;
-  auto& machine = found->second;
+  to_release_.erase(host);
+  for (; !gone_order_.empty() && now - gone_order_.front().first > kGoneKeptS; gone_order_.pop_front())
+    gone_.erase(gone_order_.front().second);
+  if (gone_.emplace(host, now).second) gone_order_.emplace_back(now, host);
+  auto* machine = fleet_.find(host);
+  if (machine == nullptr) return;
   std::vector<wire::MemberId> members;
-  for (const auto& [member, bind] : machine.binds) members.push_back(member);
-  for (const auto& member : members) unbind(machine, member);
-  if (machine.recorded || machine.recording) store(wire::machine_key(host), std::nullopt);
-  machines_.erase(found);
+  for (const auto& [member, bind] : machine->binds) members.push_back(member);
+  for (const auto& member : members) unbind(*machine, member);
+  forget_record(*machine);
+  fleet_.erase(host);
   place_soon();
   plan_soon();
 }
 
 void Leader::list_hosts() {
-  next_list_ = loop().now() + std::max(settings_.list_lag_s, settings_.report_s);
+  // A page costs a request: a large fleet is listed less often.
+  const double pages = 1 + std::floor(static_cast<double>(fleet_.size()) / kListPage);
+  next_list_ = loop().now() + std::max(settings_.list_lag_s, settings_.pace_s) * pages;
   if (std::exchange(listing_, true)) return;
   ports_.cloud.tell(
       cloud::ListHosts{guard([this, reign = first_term_](std::optional<std::vector<wire::ListedHost>> hosts) {
@@ -397,19 +420,20 @@
         const double now = loop().now();
         for (const auto& listed : *hosts) {
           if (gone_.contains(listed.uid)) continue;
-          auto [entry, added] = machines_.try_emplace(listed.uid);
-          auto& machine = entry->second;
+          const auto [entry, added] = fleet_.add(listed.uid);
+          auto& machine = *entry;
           if (added) {
             // Rented by a request that came late, or at the start: used or returned like any other.
-            log_->info("machine {}: listed but unexpected, adding it", listed.uid.value);
-            machine.host = listed.uid;
+            log_->debug("machine {}: listed but unexpected, adding it", listed.uid.value);
+            ++tally_["unexpected machines"];
             machine.flavor = listed.flavor;
             machine.rack_room = listed.rack_room;
             machine.reclaimable = listed.reclaimable;
             machine.first_seen = now - listed.held_s;
             set_size(machine);
+            fleet_.refresh(machine);
           }
-          if (listed.phase == "failed") release(machine, "the cloud says it failed");
+          if (listed.phase == "failed") release(machine, "failed by the cloud's list");
         }
       })});
 }
@@ -421,13 +445,13 @@
   return settings_.idle_boots * type->boot_s * (machine.reclaimable ? 1 : type->low_price / type->rate);
 }
 
-void Leader::return_idle() {
+bool Leader::return_idle(Machine& machine) {
   const double now = loop().now();
-  for (auto& [host, machine] : machines_) {
-    if (!machine.takes_tasks() || !machine.binds.empty()) continue;
-    if (now - machine.idle_since < idle_limit(machine) || now - machine.first_seen < kLeastChargeS) continue;
-    release(machine, "it is idle");
-  }
+  if (!machine.takes_tasks() || !machine.binds.empty()) return false;
+  if (now - machine.idle_since < idle_limit(machine) || now - machine.first_seen < kLeastChargeS)
+    return false;
+  release(machine, "idle");
+  return true;
 }
 
 }  // namespace bankhill::leader
--- a/src/leader/leader.cpp
+++ b/src/leader/leader.cpp
@@ -13,7 +13,10 @@
 constexpr double kTickS = 0.25;
 constexpr double kSyncS = 1.0;
 constexpr double kProgressS = 1.0;
+constexpr double kWatchS = 1.0;  // in which the watch goes round the fleet once
+constexpr double kSettleS = 1.0;
 constexpr double kCatalogueRounds = 4;  // the catalogue is read again every so many rounds
+constexpr std::size_t kAskAtOnce = 64;  // machines asked directly at the same time when a reign begins
 
 bool has_prefix(const std::string& key, const std::string& prefix) { return key.starts_with(prefix); }
 }  // namespace
@@ -94,54 +97,134 @@
   const double now = loop().now();
   reign_since_ = now;
   synced_at_ = now - kSyncS;  // the win itself was read just now
-  next_round_ = next_list_ = next_catalogue_ = next_sync_ = next_progress_ = now;
+  next_round_ = next_list_ = next_catalogue_ = next_sync_ = next_progress_ = next_settle_ = next_summary_ =
+      now;
   tries_ = rentals_made_ = 0;
-  machines_.clear();
+  forget_reign();
+  for (auto& [id, job] : live_) lead_job(*job);
+  adopt_records();
+  settle_rentals();
+  log_->info("leader: begin reign, term {}, {} live jobs, {} machines, {} rentals", term_, live_.size(),
+             fleet_.size(), rentals_.size());
+  ask_unconfirmed();
+  plan_soon();
+}
+
+void Leader::end_reign() {
+  log_->warn("leader: end of reign, term {}", term_);
+  reigning_ = false;
+  for (auto& waiting : awaiting_) waiting.reply({503, "{}", 1.0});
+  forget_reign();
+}
+
+void Leader::forget_reign() {
+  fleet_.clear();
   rentals_.clear();
-  usage_.clear();
   intents_.clear();
+  due_.clear();
+  usage_.clear();
+  cores_by_rank_ = {};
+  groups_.clear();
+  open_groups_.clear();
+  buckets_.clear();
+  open_buckets_.clear();
+  to_release_.clear();
+  to_ask_.clear();
+  awaiting_.clear();
+  ready_.clear();
+  asking_ = 0;
+  records_made_ = 0;
   committing_ = raising_ = listing_ = releasing_ = false;
-  for (auto& [id, job] : jobs_)
-    if (job.live()) lead_job(job);
+}
+
+// What earlier leaders stored: machines, rentals and finished tasks.
+void Leader::adopt_records() {
+  const double now = loop().now();
+  std::vector<Machine*> inherited;
   for (const auto& [key, entry] : view_.entries()) {
     if (has_prefix(key, wire::kMachines)) {
-      const auto record = wire::parse_machine_record(entry.data);
-      Machine machine;
-      machine.host = wire::HostId{key.substr(wire::kMachines.size())};
-      machine.address = record.address;
-      machine.flavor = record.flavor;
-      machine.rack_room = record.rack_room;
-      machine.reclaimable = record.reclaimable;
-      machine.up = machine.recorded = true;
-      machine.first_seen = machine.last_contact = machine.idle_since = now;
-      set_size(machine);
-      machines_.emplace(machine.host, std::move(machine));
+      const auto name = key.substr(wire::kMachines.size());
+      const auto record = wire::parse_machine_group(name, entry.data);
+      auto& group = groups_[name];
+      group.pool = {record.flavor, record.rack_room, record.reclaimable};
+      group.single = !wire::absent(entry.data, "address");
+      for (const auto& [host, address] : record.hosts) {
+        auto& machine = *fleet_.add(host).first;
+        machine.address = address;
+        machine.flavor = record.flavor;
+        machine.rack_room = record.rack_room;
+        machine.reclaimable = record.reclaimable;
+        machine.group = name;
+        machine.up = machine.recorded = machine.recording = machine.inherited = true;
+        machine.first_seen = machine.last_contact = machine.idle_since = now;
+        set_size(machine);
+        fleet_.refresh(machine);
+        group.hosts.insert(host);
+        group.bytes += wire::group_bytes(host, address);
+        inherited.push_back(&machine);
+      }
     } else if (has_prefix(key, wire::kRentals)) {
       rentals_[key.substr(wire::kRentals.size())].record = wire::parse_rental_record(entry.data);
+    } else if (has_prefix(key, wire::kFinished)) {
+      adopt_finished(key, entry.data);
     }
   }
-  settle_rentals();
-  log_->info("leader: begin reign, term {}, {} jobs, {} machines, {} rentals", term_, jobs_.size(),
-             machines_.size(), rentals_.size());
-  // Invariant 5: ask all recorded machines directly at once.
-  for (auto& [host, machine] : machines_)
-    if (machine.recorded) send_direct(machine, {});
-  plan_soon();
+  // The large ones first: they hold most, and weigh most in what the teams may use meanwhile.
+  std::stable_sort(inherited.begin(), inherited.end(),
+                   [](const Machine* a, const Machine* b) { return a->size.cores > b->size.cores; });
+  for (const auto* machine : inherited) to_ask_.push_back(machine->host);
 }
 
-void Leader::end_reign() {
-  log_->warn("leader: end of reign, term {}", term_);
-  reigning_ = false;
-  machines_.clear();
-  rentals_.clear();
-  intents_.clear();
-  usage_.clear();
+void Leader::adopt_finished(const std::string& key, const Json& data) {
+  const auto name = key.substr(wire::kFinished.size());
+  const auto record = wire::parse_finished_bucket(name, data);
+  const bool single = data.is_string();  // of version 0.1
+  std::uint64_t moved_to = 0;
+  for (const auto& [id, hex] : record) {
+    const auto found = live_.find(id.job);
+    if (found == live_.end()) continue;
+    auto& job = *found->second;
+    for (const auto index : wire::parse_finished_hex(hex, id.chunk))
+      if (index < job.spec.members && job.marks[index] != model::kDone) job.set_mark(index, model::kDone);
+    note(job);
+    if (single) {
+      moved_to = bucket_for(job, id.chunk);
+      continue;
+    }
+    // Never held by an open bucket of another name: a chunk has one home.
+    const auto number = std::stoull(name);
+    auto& bucket = buckets_[number];
+    bucket.chunks.insert(id);
+    bucket.bytes += wire::chunk_bytes(job.spec.members, id.chunk);
+    job.buckets[id.chunk] = number;
+  }
+  if (moved_to != 0)
+    store_bucket(moved_to, Patience::exits, [this, key] { store(key, std::nullopt, Patience::tidying); });
+  else if (single || !buckets_.contains(std::stoull(name)))
+    store(key, std::nullopt, Patience::tidying);  // its jobs are over
+}
+
+// Invariant 5: all inherited machines are asked directly, not all at once: an answer costs time and a socket,
+// and the dead among them must not hold up the others.
+void Leader::ask_unconfirmed() {
+  while (asking_ < kAskAtOnce && !to_ask_.empty()) {
+    const auto host = std::move(to_ask_.front());
+    to_ask_.pop_front();
+    auto* machine = fleet_.find(host);
+    if (machine == nullptr || machine->confirmed || machine->releasing) continue;
+    ++asking_;
+    send_direct(*machine, {}, [this] {
+      --asking_;
+      ask_unconfirmed();
+    });
+  }
 }
 
 void Leader::learn_job(const state::Change& change) {
   const wire::JobId id{change.key.substr(wire::kJobs.size())};
+  if (!change.data) return;
   auto& job = jobs_[id];
-  if (change.stamp <= job.stamp || !change.data) return;
+  if (change.stamp <= job.stamp) return;
   const bool known = job.stamp.value != 0;
   auto record = wire::parse_job_record(*change.data);
   job.stamp = change.stamp;
@@ -150,6 +233,7 @@
   job.accepted_at = record.accepted_at;
   if (!known) {
     job.spec = std::move(record.spec);
+    if (job.live()) live_.emplace(id, &job);
     if (reigning_ && job.live()) {
       lead_job(job);
       place_soon();
@@ -157,30 +241,53 @@
     }
   }
   if (was_live && !job.live()) {
+    live_.erase(id);
+    ready_.erase(id);
     if (reigning_) {
       stop_all(job);
+      leave_buckets(job);
       plan_soon();
     }
     // A final job needs no marks; its specification stays for tasks still to be stopped.
     job.marks.clear();
     job.marks.shrink_to_fit();
+    job.failed_on.clear();
     job.ready = job.bound = 0;
+    final_order_.push_back(id);
+    drop_final();
+  }
+}
+
+// Memory is bounded: a job that was over long ago is dropped once no task of it is left. Should one turn up
+// all the same, it is stopped like any that has no business there.
+void Leader::drop_final() {
+  for (std::size_t look = final_order_.size(); look > 0 && final_order_.size() > settings_.final_states_kept;
+       --look) {
+    const auto id = std::move(final_order_.front());
+    final_order_.pop_front();
+    const auto found = jobs_.find(id);
+    if (found == jobs_.end()) continue;
+    if (found->second.where.empty())
+      jobs_.erase(found);
+    else
+      final_order_.push_back(id);
   }
 }
 
+void Leader::note(Job& job) {
+  if (job.live() && job.ready > 0)
+    ready_.emplace(job.spec.uid, &job);
+  else
+    ready_.erase(job.spec.uid);
+}
+
 void Leader::lead_job(Job& job) {
   job.reset_marks();
   job.failed_on.clear();
   job.failures_in_row = 0;
   job.blocked_until = 0;
   job.progress_dirty = true;
-  const std::string prefix = wire::kFinished + job.spec.uid.value + "/";
-  for (auto entry = view_.entries().lower_bound(prefix);
-       entry != view_.entries().end() && has_prefix(entry->first, prefix); ++entry) {
-    const auto chunk = static_cast<std::uint32_t>(std::stoul(entry->first.substr(prefix.size())));
-    for (const auto index : wire::parse_finished_hex(entry->second.data.get<std::string>(), chunk))
-      if (index < job.spec.members && job.marks[index] != model::kDone) job.set_mark(index, model::kDone);
-  }
+  note(job);
 }
 
 void Leader::resync() {
@@ -201,11 +308,14 @@
     resync();
   }
   if (!valid()) return;
-  for (const auto& [host, machine] : machines_)
-    if (machine.reclaimable && machine.up) reclaims_[machine.flavor].machine_s += passed;
+  for (const auto& [pool, state] : fleet_.pools())
+    if (pool.reclaimable) reclaims_[pool.flavor].machine_s += passed * static_cast<double>(state.sums.up);
   if (now >= next_catalogue_) fetch_catalogue();
-  watch_machines();
-  settle_rentals();
+  watch_machines(std::min(1.0, passed / kWatchS));
+  if (now >= next_settle_) {
+    next_settle_ = now + kSettleS;
+    settle_rentals();
+  }
   if (now >= next_list_) list_hosts();
   if (now >= next_round_) {
     next_round_ = now + settings_.round_s;
@@ -213,20 +323,37 @@
     place_soon();
   }
   if (now >= next_progress_) publish_progress();
-  return_idle();
+  if (now >= next_summary_) summarize();
   send_releases();
   flush();
 }
 
+// At a thousand machines a line for each event would cost more than the event: the log gets their number.
+void Leader::summarize() {
+  next_summary_ = loop().now() + settings_.pace_s;
+  if (tally_.empty()) return;
+  std::string text;
+  for (const auto& [what, count] : tally_)
+    text += (text.empty() ? "" : ", ") + std::to_string(count) + " " + what;
+  tally_.clear();
+  const auto& total = fleet_.total();
+  log_->info(
+      "leader: {}; {} machines up, {} coming, {} unconfirmed, {} live jobs, {} waiting, {} writes waiting",
+      text, total.up, total.coming, total.unconfirmed, live_.size(), ready_.size(), intents_.size());
+}
+
 void Leader::fetch_catalogue() {
   next_catalogue_ = loop().now() + (flavors_.empty() ? kSyncS : kCatalogueRounds * settings_.round_s);
   ports_.cloud.tell(cloud::GetCatalogue{guard([this](std::optional<std::vector<wire::Flavor>> flavors) {
     if (!flavors || flavors->empty() || !valid()) return;
     const bool first = flavors_.empty();
     flavors_ = std::move(*flavors);
-    for (auto& [host, machine] : machines_) set_size(machine);
+    for (auto& [host, machine] : fleet_) {
+      set_size(machine);
+      fleet_.refresh(machine);
+    }
     // Kept in the state service too: a restart during a cloud outage can still decide.
-    store(wire::kCatalogueKey, to_json(flavors_));
+    store(wire::kCatalogueKey, to_json(flavors_), Patience::tidying);
     if (first) {
       plan_soon();
       place_soon();
@@ -236,9 +363,9 @@
 
 void Leader::publish_progress() {
   next_progress_ = loop().now() + kProgressS;
-  for (auto& [id, job] : jobs_) {
-    if (!job.live() || !std::exchange(job.progress_dirty, false)) continue;
-    ports_.progress(wire::Progress{job.finished, job.running, id.value, job.reason});
+  for (auto& [id, job] : live_) {
+    if (!std::exchange(job->progress_dirty, false)) continue;
+    ports_.progress(wire::Progress{job->finished, job->running, id.value, job->reason});
   }
 }
 
--- a/src/leader/leader.hpp
+++ b/src/leader/leader.hpp
@@ -2,15 +2,18 @@
 // the comments here cite.
 #pragma once
 
+#include <array>
+#include <deque>
 #include <functional>
 #include <map>
 #include <optional>
+#include <set>
 #include <string>
 #include <vector>
 
 #include "cloud/cloud.hpp"
+#include "model/fleet.hpp"
 #include "model/job.hpp"
-#include "model/machine.hpp"
 #include "net/http.hpp"
 #include "planner/planner.hpp"
 #include "runtime/actor.hpp"
@@ -28,11 +31,14 @@
 struct Settings {
   std::string node;
   std::uint64_t incarnation = 0;
-  double report_s = 3;
+  double report_s = 3;  // workers report this often
+  double pace_s = 3;    // what is asked again, waited for or given up goes by this (app/settings.hpp)
   double lease_s = 40;
   double cancel_s = 60;
   double list_lag_s = 5;
   std::size_t txn_ops = 16;
+  double value_kb = 8;
+  std::size_t final_states_kept = 20000;
   std::vector<Team> teams;
   // Time in which a class's jobs should be done, from the objectives.
   std::map<std::string, std::vector<double>> within_s;  // rising
@@ -80,21 +86,36 @@
   struct Usage {
     wire::Amounts used;
   };
+  using Then = std::function<void()>;
   struct Intent {
     std::optional<wire::Json> data;
-    std::vector<std::function<void()>> then;
+    std::vector<Then> then;
+    double due = 0;  // steady clock: until then further changes of the key may join it
+  };
+  using Batch = std::map<std::string, Intent>;
+  // How long a write may wait for others to join it: what tasks or users wait for goes first, and since
+  // what waits longest comes first nothing is starved.
+  enum class Patience { none, machines, exits, removal, tidying };
+  struct Group {  // machines recorded under one key
+    model::Pool pool;
+    std::set<wire::HostId> hosts;
+    std::size_t bytes = 0;
+    bool single = false;  // of version 0.1, holds one machine for good
+  };
+  struct Bucket {  // finished tasks stored under one key
+    std::set<wire::ChunkId> chunks;
+    std::size_t bytes = 0;
+  };
+  struct Awaiting {  // a report whose answer waits for the placement under way
+    wire::HostId host;
+    std::uint64_t counter = 0;
+    net::Reply reply;
   };
   struct Rental {
     wire::RentalRecord record;
     bool asking = false;
     double retry_at = 0;
   };
-  struct Pool {  // machines of one flavor, zone and kind
-    std::string flavor;
-    std::string rack_room;
-    bool reclaimable = false;
-    auto operator<=>(const Pool&) const = default;
-  };
   struct Stockout {
     double until = 0;
     double pause = 0;
@@ -104,7 +125,7 @@
     double machine_s = 0;
   };
   using Jobs = std::map<wire::JobId, model::Job>;
-  using Machines = std::map<wire::HostId, model::Machine>;
+  using Pool = model::Pool;
 
   // Reign (leader.cpp)
   void tick();
@@ -112,6 +133,13 @@
   void end_reign();
   void learn_job(const state::Change& change);
   void lead_job(model::Job& job);
+  void note(model::Job& job);  // after its ready tasks changed
+  void drop_final();
+  void forget_reign();
+  void adopt_records();
+  void adopt_finished(const std::string& key, const wire::Json& data);
+  void ask_unconfirmed();
+  void summarize();
   void resync();
   void fetch_catalogue();
   void publish_progress();
@@ -120,14 +148,24 @@
   void set_size(model::Machine& machine) const;
 
   // Stored intents (intents.cpp)
-  void store(const std::string& key, std::optional<wire::Json> data, std::function<void()> then = {});
+  void store(const std::string& key, std::optional<wire::Json> data, Patience patience, Then then = {});
+  // Groups and buckets are rendered when they are written.
+  void store_group(const std::string& group, Patience patience, Then then = {});
+  void store_bucket(std::uint64_t bucket, Patience patience, Then then = {});
+  void want(const std::string& key, Intent&& intent, Patience patience, Then then);
+  double patience_s(Patience patience) const;
+  bool render(const std::string& key, Intent& intent) const;
+  void flush_soon();
   void flush();
-  void committed(std::map<std::string, Intent> batch, wire::Epoch epoch);
-  void resolve(std::map<std::string, Intent> batch);
+  void committed(Batch batch, wire::Epoch epoch);
+  void resolve(Batch batch);
+  std::uint64_t bucket_for(model::Job& job, std::uint32_t chunk);
+  void leave_buckets(model::Job& job);
 
   // Machines and their reports (reports.cpp)
   model::Machine& machine_for(const wire::Report& report);
   void record(model::Machine& machine);
+  void forget_record(model::Machine& machine);
   bool apply(model::Machine& machine, const wire::Report& report, bool direct);
   void apply_member(model::Machine& machine, const wire::MemberReport& member);
   void exited(model::Machine& machine, const wire::MemberReport& member);
@@ -139,8 +177,10 @@
   void new_tenure(model::Machine& machine, wire::Tenure tenure);
   void stop(model::Machine& machine, model::Bind& bind, double wind_down_s);
   void stop_all(const model::Job& job);
+  void add_bind(model::Machine& machine, model::Bind bind);
+  void answer_report(model::Machine& machine, std::uint64_t counter, const net::Reply& reply);
   std::vector<wire::Order> orders_for(model::Machine& machine, std::uint64_t answered_counter);
-  void send_direct(model::Machine& machine, std::vector<wire::Order> orders);
+  void send_direct(model::Machine& machine, std::vector<wire::Order> orders, Then over = {});
   void direct_answered(const wire::HostId& host, const std::vector<wire::Order>& orders, wire::Fence fence,
                        const net::Response& response);
   void warned(model::Machine& machine, double warning_s);
@@ -154,9 +194,11 @@
   double due_in(const model::Job& job) const;
   double slack(const model::Job& job) const;
   bool zone_allows(const model::Job& job, const std::string& zone) const;
-  model::Machine* pick(const model::Job& job, bool reclaimable);
+  bool unconfirmed_could_hold(const model::Job& job) const;
+  model::Machine* pick(const model::Job& job, bool reclaimable, bool& passed);
+  void answer_awaiting();
   void bind(model::Machine& machine, model::Job& job, std::uint32_t index);
-  void make_room(const model::Job& job);
+  void make_room(model::Job& job);
   double task_s(const model::Job& job) const;
 
   // Fleet (fleet.cpp)
@@ -168,12 +210,13 @@
   void ask(const std::string& name);
   void rented(const std::string& name, const cloud::Rented& result);
   void settle_rentals();
-  void watch_machines();
+  void watch_machines(double share);
+  void watch(model::Machine& machine);
   void release(model::Machine& machine, const std::string& reason);
   void send_releases();
   void gone(const wire::HostId& host);
   void list_hosts();
-  void return_idle();
+  bool return_idle(model::Machine& machine);
   double idle_limit(const model::Machine& machine) const;
   bool reclaim_share_allows(const std::string& flavor) const;
 
@@ -183,6 +226,9 @@
 
   state::View view_;  // all but jobs
   Jobs jobs_;
+  std::map<wire::JobId, model::Job*> live_;
+  std::map<wire::JobId, model::Job*> ready_;  // live with tasks to place
+  std::deque<wire::JobId> final_order_;
   std::vector<wire::Flavor> flavors_;
   std::uint64_t hold_ = 0;
   double valid_until_ = 0;
@@ -197,14 +243,30 @@
   std::uint64_t tries_ = 0;
   std::uint64_t rentals_made_ = 0;
   std::map<std::string, Usage> usage_;
-  Machines machines_;
+  std::array<double, 4> cores_by_rank_{};  // of tasks bound
+  model::Fleet fleet_;
   std::map<std::string, Rental> rentals_;
   std::map<wire::HostId, double> gone_;
+  std::deque<std::pair<double, wire::HostId>> gone_order_;
+  std::set<wire::HostId> to_release_;
+  std::map<std::string, Group> groups_;
+  std::map<Pool, std::set<std::string>> open_groups_;
+  std::map<std::uint64_t, Bucket> buckets_;
+  std::set<std::uint64_t> open_buckets_;
+  std::uint64_t records_made_ = 0;
+  std::deque<wire::HostId> to_ask_;  // recorded machines that this reign has not asked yet
+  std::size_t asking_ = 0;
+  std::vector<Awaiting> awaiting_;
+  wire::HostId room_cursor_;
+  std::map<std::string, std::uint64_t> tally_;  // of what happened since the last summary in the log
   std::map<Pool, Stockout> stockouts_;
   std::map<std::string, Reclaims> reclaims_;
-  std::map<std::string, Intent> intents_;
+  Batch intents_;
+  std::set<std::pair<double, std::string>> due_;  // the keys of intents_ by when they are due
   bool committing_ = false;
+  bool flush_scheduled_ = false;
   bool raising_ = false;
+  bool doubtful_ = false;
   double raised_at_ = 0;
   bool listing_ = false;
   bool releasing_ = false;
@@ -213,6 +275,8 @@
   double next_catalogue_ = 0;
   double next_sync_ = 0;
   double next_progress_ = 0;
+  double next_summary_ = 0;
+  double next_settle_ = 0;
   double last_tick_ = 0;
   double last_plan_ = -1e9;
   bool place_scheduled_ = false;
@@ -220,6 +284,7 @@
   runtime::Timer tick_timer_;
   runtime::Timer place_timer_;
   runtime::Timer plan_timer_;
+  runtime::Timer flush_timer_;
 };
 
 }  // namespace bankhill::leader
--- a/src/leader/placement.cpp
+++ b/src/leader/placement.cpp
@@ -16,8 +16,9 @@
 
 namespace {
 constexpr double kLongRounds = 20;  // a task that runs on for longer gives nothing back soon
-constexpr double kHeardReports = 1.7;
-constexpr unsigned kTryBits = 24;  // attempts of one term; the term is above them
+constexpr int kBindsPerTurn = 200;
+constexpr std::size_t kRoomLook = 48;  // machines looked at for a task that needs others stopped
+constexpr unsigned kTryBits = 24;      // attempts of one term; the term is above them
 constexpr double kRounding = 1e-6;
 // Guesses are often wrong by half: a job counts as too late only when even this part of its guess does not
 // fit.
@@ -56,17 +57,17 @@
                         task_s(job));
 }
 
+// Invariant 5: what an earlier leader may have started waits until no unconfirmed machine could hold it.
+bool Leader::unconfirmed_could_hold(const Job& job) const {
+  if (job.stamp > won_ || fleet_.total().unconfirmed == 0) return false;
+  return std::any_of(fleet_.pools().begin(), fleet_.pools().end(), [&](const auto& entry) {
+    return entry.second.sums.unconfirmed > 0 && model::allows(job.spec, entry.first);
+  });
+}
+
 bool Leader::may_start(const Job& job) const {
   if (!job.live() || job.ready == 0 || loop().now() < job.blocked_until) return false;
-  // Invariant 5: what an earlier leader may have started waits until no unconfirmed machine could hold it.
-  if (job.stamp > won_) return true;
-  return std::none_of(machines_.begin(), machines_.end(), [&](const auto& entry) {
-    const auto& machine = entry.second;
-    if (!machine.recorded || machine.confirmed) return false;
-    return planner::allows(job.spec.flavors, machine.flavor) &&
-           (!job.spec.rack_room || *job.spec.rack_room == machine.rack_room) &&
-           (job.spec.reclaimable || !machine.reclaimable);
-  });
+  return !unconfirmed_could_hold(job);
 }
 
 bool Leader::team_has_room(const Job& job) const {
@@ -75,8 +76,7 @@
   const auto used = usage_.find(job.spec.owner);
   wire::Amounts total = used == usage_.end() ? wire::Amounts{} : used->second.used;
   // Invariant 5: an unconfirmed machine may be full of this team's tasks; so may tasks of unknown jobs.
-  for (const auto& [host, machine] : machines_)
-    if (machine.recorded && !machine.confirmed) total += machine.size;
+  total += fleet_.total().unconfirmed_size;
   if (const auto unknown = usage_.find(""); unknown != usage_.end()) total += unknown->second.used;
   total += job.spec.need;
   return total.cores <= owner->limit.cores + kRounding &&
@@ -97,43 +97,32 @@
   const auto& spec = job.spec;
   if (spec.rack_room && *spec.rack_room != zone) return false;
   if (!spec.together && !spec.scatter) return true;
-  std::uint32_t here = 0;
-  for (const auto& [host, machine] : machines_) {
-    // Invariant 5: tasks of an unconfirmed machine are not known.
-    if (machine.recorded && !machine.confirmed && job.stamp <= won_) return false;
-    for (auto bind = machine.binds.lower_bound({spec.uid, 0});
-         bind != machine.binds.end() && bind->first.job == spec.uid; ++bind) {
-      if (spec.together && machine.rack_room != zone) return false;
-      if (machine.rack_room == zone) ++here;
-    }
-  }
+  // Invariant 5: tasks of an unconfirmed machine are not known.
+  if (job.stamp <= won_ && fleet_.total().unconfirmed > 0) return false;
+  const auto found = job.zones.find(zone);
+  const std::uint32_t here = found == job.zones.end() ? 0 : found->second;
+  if (spec.together && job.where.size() > here) return false;
   return !spec.scatter || here < (spec.members + 1) / 2;
 }
 
-Machine* Leader::pick(const Job& job, bool reclaimable) {
-  Machine* best = nullptr;
-  std::tuple<double, double, double> best_score;
-  for (auto& [host, machine] : machines_) {
-    if (!machine.takes_tasks() || machine.reclaimable != reclaimable) continue;
-    // What is told to start on a machine that does not speak would be bound there until it is given up.
-    if (loop().now() - machine.last_contact > kHeardReports * settings_.report_s) continue;
-    if (!planner::allows(job.spec.flavors, machine.flavor) || !job.spec.need.fits(machine.room())) continue;
-    if (job.failed_on.contains(host) || !zone_allows(job, machine.rack_room)) continue;
-    if (machine.leftovers.contains({job.spec.uid, job.cursor})) continue;
-    // Earliest completion: all types run a task equally fast, the image fetch differs. Of equals the
-    // fullest, so that others become free to be returned.
-    double fetch = 0;
-    if (const auto* type = flavor(machine.flavor);
-        !machine.images.contains(job.spec.bundle) && type != nullptr && type->pull_gb_per_s > 0)
-      fetch = job.spec.size_gb / type->pull_gb_per_s;
-    // A service stays: on a large machine it would keep all of it rented.
-    const std::tuple score{fetch, job.service() ? machine.size.cores : 0, machine.room().cores};
-    if (best == nullptr || score < best_score) {
-      best = &machine;
-      best_score = score;
-    }
-  }
-  return best;
+// `passed`: a machine with room was passed over for a reason that is this task's own.
+Machine* Leader::pick(const Job& job, bool reclaimable, bool& passed) {
+  model::Fleet::Choice choice{
+      job.spec, reclaimable,
+      // A service stays: on a large machine it would keep all of it rented.
+      job.service(),
+      [&](const Pool& pool) {
+        const auto* type = flavor(pool.flavor);
+        return type == nullptr || type->pull_gb_per_s <= 0 ? 0.0 : job.spec.size_gb / type->pull_gb_per_s;
+      },
+      [&](const Machine& machine) {
+        return !job.failed_on.contains(machine.host) && zone_allows(job, machine.rack_room) &&
+               !machine.leftovers.contains({job.spec.uid, job.cursor});
+      },
+      false};
+  auto* machine = fleet_.pick(choice);
+  passed = passed || choice.passed;
+  return machine;
 }
 
 void Leader::bind(Machine& machine, Job& job, std::uint32_t index) {
@@ -141,81 +130,134 @@
   bind.member = {job.spec.uid, index};
   bind.try_no = wire::TryNo{(term_ << kTryBits) + ++tries_};
   bind.owner = job.spec.owner;
+  bind.rank = job.spec.rank;
   bind.need = job.spec.need;
   bind.tenure = machine.tenure;
   bind.since = loop().now();
+  job.set_mark(index, model::kBound);
+  note(job);
+  add_bind(machine, std::move(bind));
+}
+
+// Books the task on the machine, for its team and for its job.
+void Leader::add_bind(Machine& machine, model::Bind bind) {
   machine.used += bind.need;
   usage_[bind.owner].used += bind.need;
-  job.set_mark(index, model::kBound);
-  machine.binds.emplace(bind.member, std::move(bind));
+  cores_by_rank_.at(static_cast<std::size_t>(bind.rank)) += bind.need.cores;
+  if (const auto job = jobs_.find(bind.member.job); job != jobs_.end() && !bind.alien) {
+    job->second.where[bind.member.index] = machine.host;
+    ++job->second.zones[machine.rack_room];
+  }
+  const auto member = bind.member;
+  machine.binds.emplace(member, std::move(bind));
+  fleet_.refresh(machine);
 }
 
 void Leader::place() {
-  if (!valid() || flavors_.empty()) return;
+  if (!valid() || flavors_.empty()) return answer_awaiting();
   struct Candidate {
     std::tuple<bool, bool, double, double> order;  // not a service, borrows, slack, age
     Job* job;
   };
   std::vector<Candidate> candidates;
-  for (auto& [id, job] : jobs_) {
-    if (!may_start(job)) continue;
-    candidates.push_back({{!job.service(), !within_guarantee(job), slack(job), job.accepted_at}, &job});
+  for (auto& [id, job] : ready_) {
+    if (!may_start(*job)) continue;
+    candidates.push_back({{!job->service(), !within_guarantee(*job), slack(*job), job->accepted_at}, job});
   }
   std::sort(candidates.begin(), candidates.end(),
             [](const Candidate& a, const Candidate& b) { return a.order < b.order; });
   std::map<wire::HostId, std::vector<Order>> orders;
+  std::set<wire::HostId> answered_now;
+  for (const auto& waiting : awaiting_) answered_now.insert(waiting.host);
+  struct Full {  // what found no machine: nothing that needs as much will
+    wire::Amounts need;
+    bool reclaimable;
+  };
+  std::vector<Full> full;
   bool waiting = false;
+  int left = kBindsPerTurn;
   for (const auto& candidate : candidates) {
+    if (left <= 0) break;
     auto& job = *candidate.job;
+    const bool hopeless = std::any_of(full.begin(), full.end(), [&](const Full& item) {
+      return item.need.fits(job.spec.need) && (item.reclaimable || !job.spec.reclaimable);
+    });
     std::uint32_t index = 0;
-    while (job.next_ready(index)) {
+    while (left > 0 && job.next_ready(index)) {
       if (!team_has_room(job)) {
         job.reason = "the team's limit is reached";
         break;
       }
-      auto* machine = pick(job, false);
-      if (machine == nullptr && job.spec.reclaimable) machine = pick(job, true);
+      bool passed = false;
+      auto* machine = hopeless ? nullptr : pick(job, false, passed);
+      if (machine == nullptr && !hopeless && job.spec.reclaimable) machine = pick(job, true, passed);
       if (machine == nullptr) {
         waiting = true;
         job.reason = "no machine has room yet";
+        if (!hopeless && !passed && !job.spec.flavors && !job.spec.rack_room)
+          full.push_back({job.spec.need, job.spec.reclaimable});
         make_room(job);
         break;
       }
       bind(*machine, job, index);
+      --left;
       const wire::MemberId member{job.spec.uid, index};
-      orders[machine->host].push_back({Verb::start, member, machine->binds.at(member).try_no, 0});
+      // A machine whose report waits for its answer gets the order with it.
+      if (!answered_now.contains(machine->host))
+        orders[machine->host].push_back({Verb::start, member, machine->binds.at(member).try_no, 0});
       if (job.ready == 0) job.reason.clear();
     }
   }
-  for (auto& [host, list] : orders) send_direct(machines_.at(host), std::move(list));
+  for (auto& [host, list] : orders)
+    if (auto* machine = fleet_.find(host)) send_direct(*machine, std::move(list));
+  answer_awaiting();
   if (waiting) plan_soon();
+  // Bounded, so that leases, reports and probes are never late behind thousands of tasks.
+  if (left <= 0) place_soon();
+}
+
+void Leader::answer_awaiting() {
+  for (auto& waiting : std::exchange(awaiting_, {})) {
+    auto* machine = fleet_.find(waiting.host);
+    if (machine == nullptr || !valid())
+      waiting.reply({503, "{}", 1.0});
+    else
+      answer_report(*machine, waiting.counter, waiting.reply);
+  }
 }
 
 // Preemption: stops tasks of lower rank, or of a team above its guarantee when this job's team is within
 // its own, on the one machine where the least progress is lost.
-void Leader::make_room(const Job& job) {
+void Leader::make_room(Job& job) {
+  const double now = loop().now();
+  // What was stopped for it before is on its way.
+  if (now - job.made_room_at < settings_.pace_s) return;
   // Stopped work is mostly lost, and borrowed room comes back by itself as tasks end: taken back by force
   // is only what long tasks would not give back soon, when a whole round has not brought enough.
-  const bool guaranteed = within_guarantee(job) && loop().wall() - job.accepted_at > settings_.round_s;
+  const bool guaranteed = within_guarantee(job) && loop().wall() - job.accepted_at > settings_.round_s &&
+                          std::any_of(settings_.teams.begin(), settings_.teams.end(), [&](const Team& other) {
+                            const auto used = usage_.find(other.name);
+                            return other.name != job.spec.owner && used != usage_.end() &&
+                                   used->second.used.cores > other.guarantee.cores + kRounding;
+                          });
+  double lower_cores = 0;
+  for (std::size_t rank = 0; rank < static_cast<std::size_t>(job.spec.rank); ++rank)
+    lower_cores += cores_by_rank_.at(rank);
+  if (!guaranteed && lower_cores < kRounding) return;
   Machine* best = nullptr;
   std::vector<wire::MemberId> best_victims;
   std::pair<bool, double> best_loss{true, std::numeric_limits<double>::max()};
-  const double now = loop().now();
-  for (auto& [host, machine] : machines_) {
-    if (!machine.takes_tasks() || (machine.reclaimable && !job.spec.reclaimable)) continue;
-    if (!planner::allows(job.spec.flavors, machine.flavor) || !zone_allows(job, machine.rack_room)) continue;
+  // A part of the fleet at a time, going round: the best of some dozens is hardly worse than the best of all.
+  fleet_.visit_after(room_cursor_, kRoomLook, [&](Machine& machine) {
+    if (!machine.takes_tasks() || machine.quiet) return;
+    if (!model::allows(job.spec, {machine.flavor, machine.rack_room, machine.reclaimable}) ||
+        !zone_allows(job, machine.rack_room) || !job.spec.need.fits(machine.size))
+      return;
     wire::Amounts room = machine.room();
-    bool leaving = false;  // room is on its way here already
     double loss = 0;
     std::vector<wire::MemberId> victims;
-    for (const auto& [member, bind] : machine.binds) leaving = leaving || bind.stopping;
-    if (leaving) {
-      wire::Amounts soon = room;
-      for (const auto& [member, bind] : machine.binds)
-        if (bind.stopping) soon += bind.need;
-      if (job.spec.need.fits(soon)) return;
-      continue;
-    }
+    for (const auto& [member, bind] : machine.binds)
+      if (bind.stopping) return;  // this room is meant for another
     for (const auto& [member, bind] : machine.binds) {
       if (job.spec.need.fits(room)) break;
       const auto other = jobs_.find(member.job);
@@ -235,16 +277,18 @@
     }
     // Room on a machine that must fetch the image first is of use only later.
     const std::pair costs{!machine.images.contains(job.spec.bundle), loss};
-    if (victims.empty() || !job.spec.need.fits(room) || costs >= best_loss) continue;
+    if (victims.empty() || !job.spec.need.fits(room) || costs >= best_loss) return;
     best = &machine;
     best_victims = std::move(victims);
     best_loss = costs;
-  }
+  });
   if (best == nullptr) return;
+  job.made_room_at = now;
   for (const auto& member : best_victims) {
     auto& bind = best->binds.at(member);
     const auto& spec = jobs_.at(member.job).spec;
-    log_->info("job {}: {} makes room for it", job.spec.uid.value, member.text());
+    log_->debug("job {}: {} makes room for it", job.spec.uid.value, member.text());
+    ++tally_["tasks made room"];
     stop(*best, bind, spec.snapshot_every_s > 0 ? spec.flush_s : 0);
   }
 }
--- a/src/leader/reports.cpp
+++ b/src/leader/reports.cpp
@@ -21,9 +21,12 @@
 constexpr std::uint32_t kMachineErrors = 3;
 constexpr std::size_t kMachineErrorJobs = 2;
 constexpr std::size_t kJobErrorMachines = 3;
-constexpr double kFirstBackoffReports = 2;  // in report intervals
-constexpr double kLastBackoffReports = 20;
-constexpr double kDirectReports = 1;
+constexpr double kFirstBackoff = 2;  // in paces
+constexpr double kLastBackoff = 20;
+// Exited attempts that wait to be forgotten with the next orders: alone they would cost a report each.
+constexpr std::size_t kForgetAlone = 64;
+constexpr double kRegularReport =
+    0.7;  // of the report interval: after this it is not a change that is reported
 constexpr std::size_t kMaxOrders = 400;  // keeps an answer below 64 KiB
 
 net::Response answer(std::uint64_t fence, const std::vector<Order>& orders) {
@@ -38,17 +41,28 @@
   if (gone_.contains(report.host)) return message.reply(answer(term_, {}));
   auto& machine = machine_for(report);
   const bool news = apply(machine, report, false);
+  // An answer with a valid fence extends the worker's lease whatever it holds: also when a direct answer has
+  // overtaken the report. Else its tasks would be started elsewhere while they still run (invariant 6).
+  if (report.tenure >= machine.tenure) machine.last_answered = loop().now();
   if (!news) return message.reply(answer(term_, {}));
-  machine.last_answered = loop().now();
-  message.reply(answer(term_, orders_for(machine, report.counter)));
+  // What is placed now goes out with the answer: that spares a request and a report for each task.
+  if (!ready_.empty() && machine.takes_tasks() && machine.room().cores > 0) {
+    awaiting_.push_back({machine.host, report.counter, std::move(message.reply)});
+    return place_soon();
+  }
+  answer_report(machine, report.counter, message.reply);
+}
+
+void Leader::answer_report(Machine& machine, std::uint64_t counter, const net::Reply& reply) {
+  reply(answer(term_, orders_for(machine, counter)));
 }
 
 Machine& Leader::machine_for(const wire::Report& report) {
-  auto [found, added] = machines_.try_emplace(report.host);
-  auto& machine = found->second;
+  const auto [found, added] = fleet_.add(report.host);
+  auto& machine = *found;
   if (added) {
-    log_->info("machine {}: unexpected, adding it", report.host.value);
-    machine.host = report.host;
+    log_->debug("machine {}: unexpected, adding it", report.host.value);
+    ++tally_["unexpected machines"];
     machine.first_seen = loop().now();
   }
   if (!machine.up) {
@@ -59,26 +73,14 @@
     machine.reclaimable = report.reclaimable;
     machine.idle_since = loop().now();
     set_size(machine);
-    log_->info("machine {}: up ({} in {}{})", machine.host.value, machine.flavor, machine.rack_room,
-               machine.reclaimable ? ", spot" : "");
+    ++tally_["machines came up"];
+    log_->debug("machine {}: up ({} in {}{})", machine.host.value, machine.flavor, machine.rack_room,
+                machine.reclaimable ? ", spot" : "");
   }
   if (!machine.recorded) record(machine);
   return machine;
 }
 
-void Leader::record(Machine& machine) {
-  if (std::exchange(machine.recording, true)) return;
-  // Invariant 4: it takes tasks only once this is committed.
-  store(wire::machine_key(machine.host),
-        to_json(wire::MachineRecord{machine.address, machine.flavor, machine.rack_room, machine.reclaimable}),
-        [this, host = machine.host] {
-          const auto found = machines_.find(host);
-          if (found == machines_.end()) return;
-          found->second.recorded = true;
-          place_soon();
-        });
-}
-
 bool Leader::apply(Machine& machine, const wire::Report& report, bool direct) {
   // Invariant 11.
   if (std::pair(report.tenure, report.counter) <= std::pair(machine.tenure, machine.counter)) return false;
@@ -91,8 +93,11 @@
   machine.tenure = report.tenure;
   machine.counter = report.counter;
   machine.seen = std::max(machine.seen, report.fence);
+  if (!direct) machine.regular = now - machine.last_report >= kRegularReport * settings_.report_s;
+  if (!direct) machine.last_report = now;
   machine.last_contact = now;
-  machine.lost = false;
+  machine.probes_unanswered = 0;
+  machine.lost = machine.quiet = false;
   if (!machine.confirmed && machine.seen.value >= first_term_) {
     // From here on nothing that an earlier leader ordered can take effect (invariant 5).
     machine.confirmed = true;
@@ -118,12 +123,14 @@
       never_started.push_back(member);
   }
   for (const auto& member : never_started) unbind(machine, member);
+  fleet_.refresh(machine);
   return true;
 }
 
 void Leader::new_tenure(Machine& machine, wire::Tenure tenure) {
-  log_->warn("machine {}: its lease ran out, its tasks are gone ({})", machine.host.value,
-             machine.binds.size());
+  log_->debug("machine {}: its lease ran out, its tasks are gone ({})", machine.host.value,
+              machine.binds.size());
+  ++tally_["leases ran out"];
   std::vector<wire::MemberId> members;
   for (const auto& [member, bind] : machine.binds)
     if (bind.tenure < tenure) members.push_back(member);
@@ -155,7 +162,7 @@
           log_->debug("machine {}: {} runs {:.1f} s after its job's acceptance, {:.1f} s after placement",
                       machine.host.value, member.member.text(), loop().wall() - job->second.accepted_at,
                       loop().now() - bind.since);
-        if (job != jobs_.end()) machine.images.insert(job->second.spec.bundle);
+        if (job != jobs_.end()) fleet_.add_image(machine, job->second.spec.bundle);
       }
       bind.phase = BindPhase::running;
       break;
@@ -201,16 +208,19 @@
   bind.stopping = bind.alien;
   if (known) {
     bind.owner = job->second.spec.owner;
+    bind.rank = job->second.spec.rank;
     bind.need = job->second.spec.need;
   } else {
     bind.need = machine.size;  // unknown: the machine counts as full
   }
-  machine.used += bind.need;
-  usage_[bind.owner].used += bind.need;
-  if (!bind.alien) job->second.set_mark(member.member.index, model::kBound);
-  if (bind.alien)
-    log_->warn("machine {}: {} has no business here, stopping it", machine.host.value, member.member.text());
-  machine.binds.emplace(member.member, std::move(bind));
+  if (!bind.alien) {
+    job->second.set_mark(member.member.index, model::kBound);
+    note(job->second);
+  } else {
+    log_->debug("machine {}: {} has no business here, stopping it", machine.host.value, member.member.text());
+    ++tally_["stray tasks"];
+  }
+  add_bind(machine, std::move(bind));
   apply_member(machine, member);
 }
 
@@ -225,10 +235,19 @@
     machine.idle_since = loop().now();
   }
   usage_[bind.owner].used -= bind.need;
-  const auto job = jobs_.find(member.job);
-  if (job != jobs_.end() && job->second.live() && !bind.alien) {
-    if (bind.phase == BindPhase::running) --job->second.running;
-    if (job->second.marks[member.index] == model::kBound) job->second.set_mark(member.index, model::kReady);
+  cores_by_rank_.at(static_cast<std::size_t>(bind.rank)) -= bind.need.cores;
+  fleet_.refresh(machine);
+  const auto found_job = jobs_.find(member.job);
+  if (found_job != jobs_.end() && !bind.alien) {
+    auto& job = found_job->second;
+    job.where.erase(member.index);
+    if (const auto zone = job.zones.find(machine.rack_room); zone != job.zones.end() && --zone->second == 0)
+      job.zones.erase(zone);
+    if (job.live()) {
+      if (bind.phase == BindPhase::running) --job.running;
+      if (job.marks[member.index] == model::kBound) job.set_mark(member.index, model::kReady);
+      note(job);
+    }
   }
   place_soon();
 }
@@ -249,8 +268,9 @@
     leftover.stored = false;  // invariant 7
     finish(job->second, member.member.index, mark_stored(machine, member.member));
   } else if (live && member.cause != ExitCause::halted) {
-    log_->info("machine {}: {} exited with {}", machine.host.value, member.member.text(),
-               name_of(member.cause));
+    log_->debug("machine {}: {} exited with {}", machine.host.value, member.member.text(),
+                name_of(member.cause));
+    ++tally_[std::string("tasks exited with ") + name_of(member.cause)];
     failed(machine, job->second, member.cause);
   }
   machine.leftovers[member.member] = leftover;
@@ -259,10 +279,9 @@
 // To be run once an exit is in the store: the attempt may then be forgotten (invariant 7).
 std::function<void()> Leader::mark_stored(const Machine& machine, const wire::MemberId& member) {
   return [this, host = machine.host, member] {
-    const auto at = machines_.find(host);
-    if (at == machines_.end()) return;
-    if (const auto left = at->second.leftovers.find(member); left != at->second.leftovers.end())
-      left->second.stored = true;
+    auto* at = fleet_.find(host);
+    if (at == nullptr) return;
+    if (const auto left = at->leftovers.find(member); left != at->leftovers.end()) left->second.stored = true;
   };
 }
 
@@ -279,6 +298,7 @@
       if (!machine.draining) {
         machine.draining = true;
         machine.drain_reason = "its tasks fail";
+        fleet_.refresh(machine);
         log_->warn("machine {}: tasks keep failing there, taking it out of use", machine.host.value);
       }
     }
@@ -286,8 +306,7 @@
   }
   // Refused, or failing everywhere: not again at once.
   ++job.failures_in_row;
-  const double pause =
-      std::min(kLastBackoffReports, kFirstBackoffReports * job.failures_in_row) * settings_.report_s;
+  const double pause = std::min(kLastBackoff, kFirstBackoff * job.failures_in_row) * settings_.pace_s;
   job.blocked_until = now + pause;
   job.failed_on.clear();
   log_->warn("job {}: its tasks fail on several machines, waiting {} s", job.spec.uid.value, pause);
@@ -295,24 +314,17 @@
 
 void Leader::finish(Job& job, std::uint32_t index, std::function<void()> then) {
   job.set_mark(index, model::kDone);
-  const auto chunks = (job.spec.members + wire::kFinishedChunk - 1) / wire::kFinishedChunk;
-  if (job.finished < job.spec.members) {
-    const auto chunk = index / wire::kFinishedChunk;
-    return store(wire::finished_key(job.spec.uid, chunk), wire::finished_hex(job.marks, chunk, model::kDone),
-                 std::move(then));
-  }
-  log_->info("job {}: all {} tasks done, {:.1f} s after acceptance ({} guessed {:.1f} s each)",
-             job.spec.uid.value, job.spec.members, loop().wall() - job.accepted_at, job.spec.queue,
-             job.spec.guess_s);
+  note(job);
+  ++tally_["tasks done"];
+  if (job.finished < job.spec.members)
+    return store_bucket(bucket_for(job, index / wire::kFinishedChunk), Patience::exits, std::move(then));
+  log_->debug("job {}: all {} tasks done, {:.1f} s after acceptance ({} guessed {:.1f} s each)",
+              job.spec.uid.value, job.spec.members, loop().wall() - job.accepted_at, job.spec.queue,
+              job.spec.guess_s);
+  ++tally_["jobs done"];
   store(wire::job_key(job.spec.uid),
-        to_json(wire::JobRecord{job.spec, wire::JobPhase::done, job.accepted_at}),
-        [this, id = job.spec.uid, chunks, then = std::move(then)] {
-          then();
-          for (std::uint32_t chunk = 0; chunk < chunks; ++chunk) {
-            const auto key = wire::finished_key(id, chunk);
-            if (view_.find(key) != nullptr || intents_.contains(key)) store(key, std::nullopt);
-          }
-        });
+        to_json(wire::JobRecord{job.spec, wire::JobPhase::done, job.accepted_at}), Patience::none,
+        std::move(then));
 }
 
 void Leader::stop(Machine& machine, Bind& bind, double wind_down_s) {
@@ -322,28 +334,31 @@
 }
 
 void Leader::stop_all(const Job& job) {
-  for (auto& [host, machine] : machines_) {
-    std::vector<Order> orders;
-    for (auto& [member, bind] : machine.binds) {
-      if (member.job != job.spec.uid) continue;
-      bind.stopping = true;
-      bind.wind_down_s = 0;
-      orders.push_back({Verb::stop, member, bind.try_no, 0});
-    }
-    if (!orders.empty()) send_direct(machine, std::move(orders));
+  std::map<wire::HostId, std::vector<Order>> orders;
+  for (const auto& [index, host] : job.where) {
+    auto* machine = fleet_.find(host);
+    if (machine == nullptr) continue;
+    const auto bind = machine->binds.find({job.spec.uid, index});
+    if (bind == machine->binds.end()) continue;
+    bind->second.stopping = true;
+    bind->second.wind_down_s = 0;
+    orders[host].push_back({Verb::stop, bind->first, bind->second.try_no, 0});
   }
+  for (auto& [host, list] : orders) send_direct(*fleet_.find(host), std::move(list));
 }
 
 std::vector<Order> Leader::orders_for(Machine& machine, std::uint64_t answered_counter) {
-  std::vector<Order> orders;
+  std::vector<Order> forgets;
   for (auto& [member, leftover] : machine.leftovers) {
     // Invariant 7: a start of this attempt that is still on its way would start it once more.
     const bool safe = leftover.stored && leftover.directs_pending == 0 &&
                       (leftover.doubt.value == 0 || leftover.doubt < machine.seen);
-    if (safe && orders.size() < kMaxOrders) orders.push_back({Verb::forget, member, leftover.try_no, 0});
+    if (safe && forgets.size() < kMaxOrders / 2)
+      forgets.push_back({Verb::forget, member, leftover.try_no, 0});
   }
+  std::vector<Order> orders;
   for (auto& [member, bind] : machine.binds) {
-    if (orders.size() >= kMaxOrders) break;
+    if (orders.size() >= kMaxOrders / 2) break;
     if (bind.stopping) {
       orders.push_back({Verb::stop, member, bind.try_no, bind.wind_down_s});
     } else if (bind.phase == BindPhase::sent && machine.takes_tasks()) {
@@ -351,11 +366,18 @@
       bind.answered_counter = answered_counter;
     }
   }
-  return orders;
+  // The worker reports again when it has forgotten something: that can wait for orders or the next regular
+  // report. First in the answer all the same: a start may be of a task that is forgotten here.
+  if (orders.empty() && !machine.regular && forgets.size() < kForgetAlone) return orders;
+  forgets.insert(forgets.end(), orders.begin(), orders.end());
+  return forgets;
 }
 
-void Leader::send_direct(Machine& machine, std::vector<Order> orders) {
-  if (!valid() || machine.address.empty()) return;
+void Leader::send_direct(Machine& machine, std::vector<Order> orders, Then over) {
+  if (!valid() || machine.address.empty()) {
+    if (over) loop().post(guard(std::move(over)));
+    return;
+  }
   for (const auto& order : orders)
     if (order.verb == Verb::start) ++machine.binds.at(order.member).directs_pending;
   const wire::Fence fence{term_};
@@ -363,19 +385,20 @@
   const auto tenure = std::max<std::uint64_t>(1, machine.tenure.value);
   const wire::Json body{{"fence", fence.value}, {"tenure", tenure}, {"orders", to_json(orders)}};
   machine.last_probe = loop().now();
-  ports_.workers.send(machine.address, {net::Method::post, "/commands", body.dump()},
-                      kDirectReports * settings_.report_s,
+  ports_.workers.send(machine.address, {net::Method::post, "/commands", body.dump()}, settings_.pace_s,
                       guard([this, host = machine.host, orders = std::move(orders), fence,
-                             reign = first_term_](const net::Response& response) {
-                        if (reigning_ && reign == first_term_) direct_answered(host, orders, fence, response);
+                             reign = first_term_, over = std::move(over)](const net::Response& response) {
+                        if (!reigning_ || reign != first_term_) return;
+                        direct_answered(host, orders, fence, response);
+                        if (over) over();
                       }));
 }
 
 void Leader::direct_answered(const wire::HostId& host, const std::vector<Order>& orders, wire::Fence fence,
                              const net::Response& response) {
-  const auto found = machines_.find(host);
-  if (found == machines_.end()) return;
-  auto& machine = found->second;
+  auto* found = fleet_.find(host);
+  if (found == nullptr) return;
+  auto& machine = *found;
   const bool certain = response.status == 200 || response.status == 409;
   for (const auto& order : orders) {
     if (order.verb != Verb::start) continue;
@@ -390,7 +413,10 @@
     }
     if (!certain) machine.doubt_at = loop().now();
   }
-  if (!certain) return;
+  if (!certain) {
+    ++machine.probes_unanswered;
+    return;
+  }
   try {
     const auto report = wire::parse_report(wire::parse_object(response.body));
     if (report.host != machine.host) return;
@@ -410,8 +436,9 @@
   machine.draining = true;
   machine.drain_reason = "the cloud takes it back";
   reclaims_[machine.flavor].count += 1;
-  log_->info("machine {}: the cloud takes it in {} s, {} tasks", machine.host.value, warning_s,
-             machine.binds.size());
+  log_->debug("machine {}: the cloud takes it in {} s, {} tasks", machine.host.value, warning_s,
+              machine.binds.size());
+  ++tally_["machines warned"];
   for (auto& [member, bind] : machine.binds) {
     const auto job = jobs_.find(member.job);
     if (job == jobs_.end() || bind.stopping) continue;
@@ -422,6 +449,7 @@
     bind.stopping = true;
     bind.wind_down_s = spec.snapshot_every_s > 0 && spec.flush_s < warning_s / 2 ? spec.flush_s : 0;
   }
+  fleet_.refresh(machine);
   plan_soon();
 }
 
--- /dev/null
+++ b/src/model/fleet.hpp
@@ -0,0 +1,96 @@
+// The fleet: machines indexed by pool, room and image, with running sums, so that a task, a report or a
+// release costs about the logarithm of the fleet. Pure: no input, output or clocks.
+#pragma once
+
+#include <cstdint>
+#include <functional>
+#include <map>
+#include <set>
+#include <string>
+
+#include "model/job.hpp"
+#include "model/machine.hpp"
+
+namespace bankhill::model {
+
+// Machines of one flavor, zone and kind.
+struct Pool {
+  std::string flavor;
+  std::string rack_room;
+  bool reclaimable = false;
+  auto operator<=>(const Pool&) const = default;
+};
+
+// A machine with room, ordered by the cores that are free.
+struct Slot {
+  double cores = 0;
+  std::uint64_t number = 0;
+  Machine* machine = nullptr;
+  bool operator<(const Slot& other) const {
+    return cores != other.cores ? cores < other.cores : number < other.number;
+  }
+};
+
+struct PoolState {
+  Sums sums;
+  wire::Amounts size;  // of one machine
+  std::set<Slot> open;
+  std::map<std::string, std::set<Slot>> with_image;
+};
+
+class Fleet {
+ public:
+  using Machines = std::map<wire::HostId, Machine>;
+
+  Machines::iterator begin() { return machines_.begin(); }
+  Machines::iterator end() { return machines_.end(); }
+  std::size_t size() const { return machines_.size(); }
+  Machine* find(const wire::HostId& host);
+  const Machine* peek(const wire::HostId& host) const;
+  // The machine, made if it is not there yet.
+  std::pair<Machine*, bool> add(const wire::HostId& host);
+  void erase(const wire::HostId& host);
+  void clear();
+  // To be called after any change to a machine: brings the indexes and sums up to date.
+  void refresh(Machine& machine);
+  void add_image(Machine& machine, const std::string& bundle);
+
+  // Calls for each of the next `count` machines after `cursor`, going round; moves the cursor.
+  void visit_after(wire::HostId& cursor, std::size_t count, const std::function<void(Machine&)>& call);
+  // The same for a share of the fleet.
+  void visit(double share, const std::function<void(Machine&)>& call);
+
+  const std::map<Pool, PoolState>& pools() const { return pools_; }
+  const Sums& total() const { return total_; }
+  Sums zone(const std::string& rack_room) const;
+
+  // Machines that may take a task of a job, best first: `fetch_s` says how long a pool's machines take to
+  // fetch the image, `suits` has the last word. `passed` tells whether a machine with room was passed over.
+  struct Choice {
+    const wire::JobSpec& spec;
+    bool reclaimable = false;
+    bool small_first = false;  // of equals, the smaller machine
+    std::function<double(const Pool&)> fetch_s;
+    std::function<bool(const Machine&)> suits;
+    bool passed = false;
+  };
+  Machine* pick(Choice& choice);
+
+  // Machines and pools looked at so far, to show that work per task does not grow with the fleet.
+  std::uint64_t steps() const { return steps_; }
+
+ private:
+  void unlist(Machine& machine);
+
+  Machines machines_;
+  std::map<Pool, PoolState> pools_;
+  Sums total_;
+  std::uint64_t next_number_ = 1;
+  wire::HostId cursor_;  // visited last
+  std::uint64_t steps_ = 0;
+};
+
+// Whether the job may have tasks in this pool (flavor, zone, kind).
+bool allows(const wire::JobSpec& spec, const Pool& pool);
+
+}  // namespace bankhill::model
--- a/src/model/job.cpp
+++ b/src/model/job.cpp
@@ -8,6 +8,9 @@
   marks.assign(spec.members, kReady);
   ready = spec.members;
   bound = finished = running = cursor = 0;
+  where.clear();
+  zones.clear();
+  buckets.clear();
 }
 
 void Job::set_mark(std::uint32_t index, Mark mark) {
--- a/src/model/job.hpp
+++ b/src/model/job.hpp
@@ -2,6 +2,7 @@
 #pragma once
 
 #include <cstdint>
+#include <map>
 #include <set>
 #include <string>
 #include <vector>
@@ -25,11 +26,16 @@
   std::uint32_t running = 0;
   std::uint32_t cursor = 0;  // no ready task lies before it
 
+  std::map<std::uint32_t, wire::HostId> where;     // the machines that tasks are bound to
+  std::map<std::string, std::uint32_t> zones;      // how many of them in each zone
+  std::map<std::uint32_t, std::uint64_t> buckets;  // chunk -> where its finished tasks are stored
+
   // Failures of tasks, to tell a faulty machine from a faulty job.
   std::set<wire::HostId> failed_on;
   std::uint32_t failures_in_row = 0;
   double blocked_until = 0;  // steady clock
-  std::string reason;        // why it waits or what failed, for its owner
+  double made_room_at = -1e9;
+  std::string reason;  // why it waits or what failed, for its owner
   bool progress_dirty = true;
 
   bool live() const { return phase == wire::JobPhase::accepted; }
--- a/src/model/machine.hpp
+++ b/src/model/machine.hpp
@@ -11,6 +11,8 @@
 
 namespace bankhill::model {
 
+struct PoolState;
+
 enum class BindPhase { sent, pulling, running, flushing };
 
 // A task told to start on a machine. It stays bound until there is proof that it is gone.
@@ -18,6 +20,7 @@
   wire::MemberId member;
   wire::TryNo try_no;
   std::string owner;
+  wire::Rank rank = wire::Rank::normal;
   wire::Amounts need;
   wire::Tenure tenure;  // session in which it was told to start
   BindPhase phase = BindPhase::sent;
@@ -42,8 +45,29 @@
   wire::Fence doubt;
 };
 
+// Running sums over machines, of a pool, a zone or all.
+struct Sums {
+  std::size_t up = 0;
+  std::size_t quiet = 0;        // up, not heard for longer than reports take
+  std::size_t coming = 0;       // rented, not up yet, and still expected
+  std::size_t unconfirmed = 0;  // inherited from an earlier leader, not heard in this reign
+  wire::Amounts unconfirmed_size;
+  double cores = 0;  // of machines that are up or coming and stay
+
+  Sums& operator+=(const Sums& other);
+};
+
+// What the indexes hold of a machine.
+struct Listed {
+  PoolState* pool = nullptr;
+  Sums part;
+  bool open = false;
+  double cores = 0;
+};
+
 struct Machine {
   wire::HostId host;
+  std::uint64_t number = 0;  // in the order in which the leader came to know them
   std::string address;
   std::string flavor;
   std::string rack_room;
@@ -53,12 +77,16 @@
   bool up = false;        // has reported, or is recorded as one that did
   bool recorded = false;  // its record is committed: it may hold tasks
   bool recording = false;
-  bool confirmed = false;  // has seen a fence of this reign
+  bool inherited = false;  // was recorded when this reign began: may hold tasks of an earlier leader
+  bool confirmed = false;  // has seen a fence of this reign, or never had another
   bool lost = false;       // its lease has run out by our count and it was not heard since
   bool draining = false;   // takes no more tasks
   bool releasing = false;
   bool release_sent = false;
+  bool late = false;   // booting for so long that it is no longer counted on
+  bool quiet = false;  // not heard for longer than reports take
   std::string drain_reason;
+  std::string group;  // where its record is kept
 
   wire::Tenure tenure;
   std::uint64_t counter = 0;
@@ -66,7 +94,10 @@
   double first_seen = 0;     // steady clock
   double last_contact = 0;   // last new report or direct answer
   double last_answered = 0;  // last report answered: its lease cannot reach beyond lease_s from here
+  double last_report = 0;
+  bool regular = true;  // its last report came in its turn, not for a change
   double last_probe = 0;
+  std::uint32_t probes_unanswered = 0;  // in a row
   double doubt_at = 0;
   double idle_since = 0;
   std::optional<double> warned_until;  // steady clock: when the cloud takes it
@@ -77,6 +108,7 @@
   std::set<std::string> images;  // bundles seen ready here
   std::uint32_t errors_in_row = 0;
   std::set<wire::JobId> error_jobs;
+  std::optional<Listed> listed;  // how the fleet's indexes hold it
 
   wire::Amounts room() const {
     wire::Amounts free = size;
--- a/src/net/evhttp_client.cpp
+++ b/src/net/evhttp_client.cpp
@@ -3,6 +3,7 @@
 #include <event2/buffer.h>
 #include <event2/keyvalq_struct.h>
 
+#include <algorithm>
 #include <charconv>
 #include <utility>
 
@@ -29,7 +30,8 @@
   runtime::Timer deadline;
 };
 
-EvhttpClient::EvhttpClient(runtime::EventLoop& loop, runtime::Log log) : loop_(loop), log_(std::move(log)) {}
+EvhttpClient::EvhttpClient(runtime::EventLoop& loop, runtime::Log log, std::size_t idle_limit)
+    : loop_(loop), log_(std::move(log)), idle_limit_(std::max<std::size_t>(1, idle_limit)) {}
 
 EvhttpClient::~EvhttpClient() {
   // Freeing a connection calls back for its pending request: those must find nothing.
@@ -37,11 +39,15 @@
 }
 
 EvhttpClient::Connection EvhttpClient::take_connection(const std::string& address) {
-  auto& idle = idle_[address];
-  while (!idle.empty()) {
-    Idle candidate = std::move(idle.back());
-    idle.pop_back();
-    if (loop_.now() - candidate.since < kIdleLimitS) return std::move(candidate.connection);
+  if (const auto found = idle_.find(address); found != idle_.end()) {
+    auto& idle = found->second;
+    while (!idle.empty()) {
+      Idle candidate = std::move(idle.back());
+      idle.pop_back();
+      idle_order_.erase(candidate.number);
+      if (loop_.now() - candidate.since < kIdleLimitS) return std::move(candidate.connection);
+    }
+    idle_.erase(found);
   }
   const auto colon = address.rfind(':');
   if (colon == std::string::npos) return nullptr;
@@ -51,6 +57,25 @@
                                                static_cast<unsigned short>(port)));
 }
 
+void EvhttpClient::keep(const std::string& address, Connection connection) {
+  auto& idle = idle_[address];
+  const auto number = next_idle_++;
+  idle.push_back({std::move(connection), loop_.now(), number});
+  idle_order_.emplace(number, address);
+  if (idle.size() > kIdlePerAddress) {
+    idle_order_.erase(idle.front().number);
+    idle.pop_front();
+  }
+  // A worker is asked now and then only: connections to thousands must not use up the sockets.
+  while (idle_order_.size() > idle_limit_) {
+    const auto oldest = idle_order_.begin();
+    const auto found = idle_.find(oldest->second);
+    found->second.pop_front();
+    if (found->second.empty()) idle_.erase(found);
+    idle_order_.erase(oldest);
+  }
+}
+
 void EvhttpClient::send(const std::string& address, Request request, double timeout_s, Reply reply) {
   const auto id = next_id_++;
   auto exchange = std::make_unique<Exchange>();
@@ -104,13 +129,13 @@
   std::shared_ptr<Exchange> exchange = std::move(found->second);
   exchanges_.erase(found);
   exchange->deadline.reset();
-  auto& idle = idle_[exchange->address];
-  if (reusable && idle.size() < kIdlePerAddress)
-    idle.push_back({std::move(exchange->connection), loop_.now()});
   auto reply = std::move(exchange->reply);
   const std::string exchange_address = exchange->address;
   // evhttp still works on this connection while it calls back: free it on a later turn.
-  loop_.post([exchange]() mutable { exchange.reset(); });
+  loop_.post([this, exchange, reusable]() mutable {
+    if (reusable) keep(exchange->address, std::move(exchange->connection));
+    exchange.reset();
+  });
   try {
     reply(std::move(response));
   } catch (const std::exception& error) {
--- a/src/net/evhttp_client.hpp
+++ b/src/net/evhttp_client.hpp
@@ -16,7 +16,8 @@
 
 class EvhttpClient final : public Client {
  public:
-  EvhttpClient(runtime::EventLoop& loop, runtime::Log log);
+  // At most `idle_limit` connections are kept open between requests, those used last.
+  EvhttpClient(runtime::EventLoop& loop, runtime::Log log, std::size_t idle_limit);
   ~EvhttpClient() override;
   void send(const std::string& address, Request request, double timeout_s, Reply reply) override;
 
@@ -29,14 +30,19 @@
   struct Idle {
     Connection connection;
     double since = 0;
+    std::uint64_t number = 0;
   };
 
+  void keep(const std::string& address, Connection connection);
   Connection take_connection(const std::string& address);
   void finish(std::uint64_t id, Response response, bool reusable);
 
   runtime::EventLoop& loop_;
   runtime::Log log_;
+  std::size_t idle_limit_;
   std::map<std::string, std::deque<Idle>> idle_;
+  std::map<std::uint64_t, std::string> idle_order_;  // by age
+  std::uint64_t next_idle_ = 1;
   std::map<std::uint64_t, std::unique_ptr<Exchange>> exchanges_;
   std::uint64_t next_id_ = 1;
 };
--- a/src/net/rate_limit.hpp
+++ b/src/net/rate_limit.hpp
@@ -17,6 +17,16 @@
     return true;
   }
 
+  // Takes what was used elsewhere or in any case; the bucket may owe as much as it holds.
+  void spend(double now, double amount) {
+    refill(now);
+    tokens_ = std::max(-burst_, tokens_ - amount);
+  }
+  double level(double now) {
+    refill(now);
+    return tokens_;
+  }
+
  private:
   void refill(double now) {
     if (last_ >= 0) tokens_ = std::min(burst_, tokens_ + (now - last_) * rate_);
--- a/src/state/store.cpp
+++ b/src/state/store.cpp
@@ -16,11 +16,13 @@
 constexpr double kWatchS = 10.0;
 constexpr double kHeartbeatS = 1.0;
 constexpr std::size_t kPage = 1000;
-// Part of the request limit that one controller's read barriers may use.
-constexpr double kBarrierShare = 0.1;
-// Part of a controller's share of the request limit that only urgent requests may use.
+// Parts of the request limit that the read barriers and the watches of all controllers may use.
+constexpr double kBarrierShare = 0.25;
+constexpr double kWatchShare = 0.3;
+// Part of the write limit that only users and elections may use.
 constexpr double kUrgentReserve = 0.3;
-constexpr double kControllers = 3;
+// Of the write limit: the margin is for writes that are not seen, such as failed conditions.
+constexpr double kWritesUsed = 0.95;
 
 bool served(const Response& response) {
   return response.status == 200 || response.status == 404 || response.status == 409;
@@ -33,9 +35,9 @@
       log_(std::move(log)),
       address_(std::move(address)),
       limits_(limits),
-      // Each controller keeps to its share; the leader's larger need fits what the others leave idle.
-      requests_(limits.rps / kControllers, limits.rps / kControllers),
-      writes_(limits.write_rps * 2 / kControllers, limits.write_rps * 2 / kControllers) {}
+      writes_(limits.write_rps * kWritesUsed, limits.write_rps * kWritesUsed) {}
+
+double Store::writes_to_spare() { return writes_.level(loop().now()) - kUrgentReserve * limits_.write_rps; }
 
 void Store::start() {
   list("");
@@ -98,6 +100,10 @@
       known_.erase(found);
     else
       continue;
+    if (const auto own = own_.find(change.key); own != own_.end())
+      own_.erase(own);
+    else if (synced_)
+      writes_.spend(loop().now(), 1);
     fresh.push_back(std::move(change));
   }
   if (fresh.empty()) return;
@@ -142,7 +148,8 @@
     const bool fine = apply_news(response);
     if (relist_) return;
     // A short pause lets changes gather, so that a burst does not cost a request each.
-    const double pause = fine ? 4 / limits_.rps : loop().uniform(0.1, 0.3);
+    const double share = kWatchShare * limits_.rps / static_cast<double>(limits_.controllers);
+    const double pause = fine ? 1 / share : loop().uniform(0.1, 0.3);
     watch_timer_ = loop().after(pause, [this] { watch(); });
   });
 }
@@ -162,7 +169,7 @@
 
 void Store::run_barrier() {
   if (barrier_running_ || waiting_.empty()) return;
-  const double gap = 1 / (limits_.rps * kBarrierShare);
+  const double gap = static_cast<double>(limits_.controllers) / (limits_.rps * kBarrierShare);
   const double wait = waiting_urgent_ ? 0 : last_barrier_ + gap - loop().now();
   if (wait > 0) {
     if (!barrier_timer_)
@@ -190,11 +197,15 @@
 }
 
 void Store::on(Commit& message) {
-  const double now = loop().now();
-  const double reserve = message.urgent ? 0 : kUrgentReserve * limits_.rps / kControllers;
-  if (!requests_.take(now, 1, reserve) ||
-      !writes_.take(now, static_cast<double>(message.transaction.writes.size())))
-    return message.done({Outcome::refused, {}});
+  const auto puts = static_cast<double>(message.transaction.writes.size());
+  if (!message.urgent && writes_to_spare() < puts) return message.done({Outcome::refused, {}});
+  // Urgent ones are tried in any case: the service has the last word, and answers at once.
+  writes_.spend(loop().now(), puts);
+  std::vector<std::string> keys;
+  for (const auto& write : message.transaction.writes) {
+    keys.push_back(write.key);
+    own_.insert(write.key);
+  }
   Json when = Json::array();
   for (const auto& condition : message.transaction.when)
     when.push_back({{"k", condition.key}, {"stamp", condition.stamp.value}});
@@ -209,7 +220,7 @@
     writes.push_back(std::move(item));
   }
   send(Method::post, "/commit", Json{{"when", std::move(when)}, {"writes", std::move(writes)}}.dump(),
-       kAnswerS, [this, done = std::move(message.done)](const Response& response) {
+       kAnswerS, [this, done = std::move(message.done), keys = std::move(keys)](const Response& response) {
          CommitResult result;
          const Json body = Json::parse(response.body, nullptr, false);
          if (body.is_object() && body.contains("epoch"))
@@ -222,6 +233,9 @@
            result.outcome = Outcome::refused;
          if (response.status == 400)
            log_->error("state: transaction refused as malformed: {}", response.body);
+         if (result.outcome != Outcome::done)  // no change of ours will be seen, or only as another's
+           for (const auto& key : keys)
+             if (const auto own = own_.find(key); own != own_.end()) own_.erase(own);
          done(result);
        });
 }
--- a/src/state/store.hpp
+++ b/src/state/store.hpp
@@ -4,6 +4,7 @@
 
 #include <functional>
 #include <map>
+#include <set>
 #include <string>
 #include <vector>
 
@@ -20,6 +21,7 @@
   double write_rps = 50;
   double value_kb = 8;
   std::size_t txn_ops = 16;
+  std::size_t controllers = 3;  // that share these limits
 };
 
 struct Condition {
@@ -54,7 +56,8 @@
 struct Commit {
   Transaction transaction;
   std::function<void(CommitResult)> done;
-  bool urgent = true;  // leases, commits and recovery go before polls
+  // What users and elections wait for. Bookkeeping leaves them a part of the limits.
+  bool urgent = true;
 };
 struct Sync {  // read barrier: done(true) once every change committed before this message has been published
   std::function<void(bool)> done;
@@ -88,6 +91,9 @@
   // Seconds since the service last answered usefully.
   double silence() const { return loop().now() - last_ok_; }
   bool synced() const { return synced_; }
+  // Puts that bookkeeping may commit now. Every controller sees every change, so it knows what the others
+  // use: nothing of the limit is set aside for controllers that write nothing.
+  double writes_to_spare();
 
   void on(Commit& message);
   void on(Sync& message);
@@ -109,11 +115,11 @@
   runtime::Log log_;
   std::string address_;
   Limits limits_;
-  net::RateLimit requests_;
   net::RateLimit writes_;
   std::vector<std::function<void(Changes)>> subscribers_;
 
   std::map<std::string, wire::Stamp> known_;
+  std::multiset<std::string> own_;        // keys written from here whose change is still to be seen
   std::map<std::string, Entry> listing_;  // pages of a list under way
   wire::Epoch listing_epoch_;
   wire::Epoch epoch_;
--- a/src/wire/records.cpp
+++ b/src/wire/records.cpp
@@ -4,9 +4,15 @@
 
 namespace bankhill::wire {
 
-std::string finished_key(const JobId& id, std::uint32_t chunk) {
-  return kFinished + id.value + "/" + std::to_string(chunk);
+namespace {
+constexpr std::size_t kJsonOverhead = 8;  // quotes, colon, comma and brackets of one member
+
+ChunkId parse_chunk_id(const std::string& text) {
+  const auto member = parse_member_id(text);
+  if (!member) throw Malformed("'" + text + "' is not a chunk of a job");
+  return {member->job, member->index};
 }
+}  // namespace
 
 const char* name_of(JobPhase phase) {
   switch (phase) {
@@ -46,16 +52,57 @@
   return {text_field(object, "node"), count_field(object, "incarnation"), count_field(object, "hold")};
 }
 
-Json to_json(const MachineRecord& record) {
-  return Json{{"address", record.address},
-              {"flavor", record.flavor},
+Json to_json(const MachineGroupRecord& record) {
+  Json hosts = Json::object();
+  for (const auto& [host, address] : record.hosts) hosts[host.value] = address;
+  return Json{{"flavor", record.flavor},
               {"rack_room", record.rack_room},
-              {"reclaimable", record.reclaimable}};
+              {"reclaimable", record.reclaimable},
+              {"hosts", std::move(hosts)}};
+}
+
+MachineGroupRecord parse_machine_group(const std::string& name, const Json& object) {
+  MachineGroupRecord record{
+      text_field(object, "flavor"), text_field(object, "rack_room"), flag_field(object, "reclaimable"), {}};
+  if (!absent(object, "address")) {
+    record.hosts.emplace(HostId{name}, text_field(object, "address"));
+    return record;
+  }
+  const auto hosts = object.find("hosts");
+  if (hosts == object.end() || !hosts->is_object()) throw Malformed("field 'hosts' is not an object");
+  for (const auto& [host, address] : hosts->items()) {
+    if (!address.is_string()) throw Malformed("field 'hosts' holds something other than addresses");
+    record.hosts.emplace(HostId{host}, address.get<std::string>());
+  }
+  return record;
+}
+
+std::size_t group_bytes(const HostId& host, const std::string& address) {
+  return host.value.size() + address.size() + kJsonOverhead;
+}
+
+Json to_json(const FinishedBucket& bucket) {
+  Json object = Json::object();
+  for (const auto& [id, hex] : bucket) object[id.job.value + "/" + std::to_string(id.chunk)] = hex;
+  return object;
+}
+
+FinishedBucket parse_finished_bucket(const std::string& name, const Json& data) {
+  if (data.is_string()) return {{parse_chunk_id(name), data.get<std::string>()}};
+  if (!data.is_object()) throw Malformed("finished tasks are neither text nor an object");
+  FinishedBucket bucket;
+  for (const auto& [id, hex] : data.items()) {
+    if (!hex.is_string()) throw Malformed("finished tasks are not text");
+    bucket.emplace(parse_chunk_id(id), hex.get<std::string>());
+  }
+  return bucket;
 }
 
-MachineRecord parse_machine_record(const Json& object) {
-  return {text_field(object, "address"), text_field(object, "flavor"), text_field(object, "rack_room"),
-          flag_field(object, "reclaimable")};
+std::size_t chunk_bytes(std::uint32_t members, std::uint32_t chunk) {
+  constexpr std::size_t kLongestId = 32;
+  const auto begin = static_cast<std::size_t>(chunk) * kFinishedChunk;
+  const std::size_t tasks = members > begin ? std::min<std::size_t>(members - begin, kFinishedChunk) : 0;
+  return tasks / 4 + kLongestId + kJsonOverhead;
 }
 
 Json to_json(const RentalRecord& record) {
--- a/src/wire/records.hpp
+++ b/src/wire/records.hpp
@@ -1,6 +1,7 @@
 // Records that bankhill keeps in the state service, and the names of their keys.
 #pragma once
 
+#include <map>
 #include <optional>
 #include <string>
 #include <vector>
@@ -20,9 +21,9 @@
 inline const std::string kFinished = kRoot + "finished/";
 
 inline std::string job_key(const JobId& id) { return kJobs + id.value; }
-inline std::string machine_key(const HostId& id) { return kMachines + id.value; }
 inline std::string rental_key(const std::string& name) { return kRentals + name; }
-std::string finished_key(const JobId& id, std::uint32_t chunk);
+inline std::string machines_key(const std::string& group) { return kMachines + group; }
+inline std::string finished_key(std::uint64_t bucket) { return kFinished + std::to_string(bucket); }
 
 enum class JobPhase { accepted, done, cancelled };
 const char* name_of(JobPhase phase);
@@ -43,14 +44,19 @@
 Json to_json(const LeaderRecord& record);
 LeaderRecord parse_leader_record(const Json& object);
 
-struct MachineRecord {
-  std::string address;
+// Machines of one flavor, zone and kind that may hold tasks: many to a key, since the service counts puts.
+struct MachineGroupRecord {
   std::string flavor;
   std::string rack_room;
   bool reclaimable = false;
+  std::map<HostId, std::string> hosts;  // and their addresses
+  bool operator==(const MachineGroupRecord&) const = default;
 };
-Json to_json(const MachineRecord& record);
-MachineRecord parse_machine_record(const Json& object);
+Json to_json(const MachineGroupRecord& record);
+// `name`: what follows the prefix in the key. Version 0.1 wrote one machine to a key, named by its host.
+MachineGroupRecord parse_machine_group(const std::string& name, const Json& object);
+// What one more machine adds to its group's value at the most.
+std::size_t group_bytes(const HostId& host, const std::string& address);
 
 // An intent to rent; `hosts` is set once the cloud has answered.
 struct RentalRecord {
@@ -64,8 +70,19 @@
 Json to_json(const RentalRecord& record);
 RentalRecord parse_rental_record(const Json& object);
 
-// Finished tasks of one job: a bit a task, in chunks that stay far below any value limit (512 bytes of hex).
+// Finished tasks: a bit a task, in chunks that stay far below any value limit (512 bytes of hex). Chunks of
+// many jobs share a key, a bucket.
 constexpr std::uint32_t kFinishedChunk = 2048;
+struct ChunkId {
+  JobId job;
+  std::uint32_t chunk = 0;
+  auto operator<=>(const ChunkId&) const = default;
+};
+using FinishedBucket = std::map<ChunkId, std::string>;  // hex
+Json to_json(const FinishedBucket& bucket);
+// `name`: what follows the prefix in the key. Version 0.1 wrote one chunk to a key, "job/chunk".
+FinishedBucket parse_finished_bucket(const std::string& name, const Json& data);
+std::size_t chunk_bytes(std::uint32_t members, std::uint32_t chunk);
 std::string finished_hex(const std::vector<char>& done, std::uint32_t chunk, char done_mark);
 std::vector<std::uint32_t> parse_finished_hex(const std::string& hex, std::uint32_t chunk);
 
--- a/src/workers/desk.cpp
+++ b/src/workers/desk.cpp
@@ -9,14 +9,16 @@
 
 namespace {
 constexpr double kRememberReports = 8;  // report intervals in which coming back means: could not reach it
-constexpr double kRelayReports = 0.8;
+constexpr double kRelayPaces = 0.8;
 }  // namespace
 
-Desk::Desk(runtime::Loop& loop, runtime::Log log, std::string node, double report_s, Ports ports)
+Desk::Desk(runtime::Loop& loop, runtime::Log log, std::string node, double report_s, double pace_s,
+           Ports ports)
     : Actor(loop),
       log_(std::move(log)),
       node_(std::move(node)),
       report_s_(report_s),
+      pace_s_(pace_s),
       ports_(std::move(ports)) {}
 
 void Desk::on(Changed& message) {
@@ -48,7 +50,7 @@
   if (!came_back) return message.reply({421, Json{{"controller", leader_}}.dump(), std::nullopt});
   // It cannot reach the leader: pass its report on rather than send it round until its lease ends.
   log_->debug("worker {}: came back, passing its report on to {}", host.value, leader_);
-  ports_.relay.tell(net::RelayCall{leader_, std::move(message.request), kRelayReports * report_s_,
+  ports_.relay.tell(net::RelayCall{leader_, std::move(message.request), kRelayPaces * pace_s_,
                                    guard([this, host, reply = std::move(message.reply)](Response response) {
                                      if (response.status == 200) return reply(std::move(response));
                                      sent_.erase(host);
--- a/src/workers/desk.hpp
+++ b/src/workers/desk.hpp
@@ -32,7 +32,7 @@
     std::function<void(wire::Report, net::Reply)> take;  // to the leader of this controller
   };
 
-  Desk(runtime::Loop& loop, runtime::Log log, std::string node, double report_s, Ports ports);
+  Desk(runtime::Loop& loop, runtime::Log log, std::string node, double report_s, double pace_s, Ports ports);
 
   void on(Changed& message);
   void on(ReportCall& message);
@@ -47,6 +47,7 @@
   runtime::Log log_;
   std::string node_;
   double report_s_;
+  double pace_s_;
   Ports ports_;
   std::string leader_;
   std::map<wire::HostId, Sent> sent_;
