--- a/tests/wire_test.cpp
+++ b/tests/wire_test.cpp
@@ -102,6 +102,36 @@
   EXPECT_EQ(to_json(parse_rental_record(to_json(rental))), to_json(rental));
 }
 
+TEST(Records, MachinesShareAKeyAndThoseOfVersion01AreRead) {
+  const MachineGroupRecord group{
+      "g8", "a", true, {{HostId{"n-1"}, "10.1.0.1:9000"}, {HostId{"n-2"}, "10.1.0.2:9000"}}};
+  EXPECT_EQ(parse_machine_group("5-1", to_json(group)), group);
+  const auto single = parse_machine_group(
+      "n-7",
+      Json{{"address", "10.1.0.7:9000"}, {"flavor", "g8"}, {"rack_room", "a"}, {"reclaimable", false}});
+  EXPECT_EQ(single, (MachineGroupRecord{"g8", "a", false, {{HostId{"n-7"}, "10.1.0.7:9000"}}}));
+  EXPECT_THROW(parse_machine_group("5-1", Json{{"flavor", "g8"}, {"rack_room", "a"}, {"reclaimable", true}}),
+               Malformed);
+  // What the leader counts for a machine is at least what it adds to the value.
+  std::size_t counted = to_json(MachineGroupRecord{"g8", "a", true, {}}).dump().size();
+  for (const auto& [host, address] : group.hosts) counted += group_bytes(host, address);
+  EXPECT_GE(counted, to_json(group).dump().size());
+}
+
+TEST(Records, FinishedTasksOfManyJobsShareAKeyAndThoseOfVersion01AreRead) {
+  const FinishedBucket bucket{{{JobId{"job-1"}, 0}, "0f"}, {{JobId{"job-2"}, 3}, "a1"}};
+  EXPECT_EQ(parse_finished_bucket("17", to_json(bucket)), bucket);
+  EXPECT_EQ(parse_finished_bucket("job-9/2", Json("ff")), (FinishedBucket{{{JobId{"job-9"}, 2}, "ff"}}));
+  EXPECT_THROW(parse_finished_bucket("17", Json{{"job-9", "ff"}}), Malformed);
+  EXPECT_THROW(parse_finished_bucket("x", Json("ff")), Malformed);
+  for (const std::uint32_t members : {1U, 80U, 2048U, 2049U, 100'000U}) {
+    const std::vector<char> marks(members, 2);
+    const std::uint32_t last = (members - 1) / kFinishedChunk;
+    const FinishedBucket one{{{JobId{"job-000412"}, last}, finished_hex(marks, last, 2)}};
+    EXPECT_GE(chunk_bytes(members, last), to_json(one).dump().size()) << members;
+  }
+}
+
 std::vector<Frame> frames() {
   return {Hello{~0ULL >> 1, "node-1"}, Beat{41, true, false},
           Call{7, true, "/submissions", std::string(5000, 'x')}, Answer{7, 201, 1500, "{}"},
