--- a/src/app/node.cpp
+++ b/src/app/node.cpp
@@ -20,6 +20,7 @@
   result.final_states_kept = settings.own.final_states_kept;
   for (const auto& team : settings.teams) result.teams.push_back({team.name, team.guarantee, team.limit});
   result.within_s = settings.within_s;
+  result.deadline_times = settings.deadline_times;
   result.alpha = settings.own.alpha;
   result.phi = settings.own.phi;
   result.round_s = settings.own.round_paces * settings.pace_s;
--- a/src/app/settings.cpp
+++ b/src/app/settings.cpp
@@ -74,9 +74,13 @@
   if (params.contains("objectives"))
     for (const auto& item : list(params, "objectives")) {
       // Only what says in which time a class's jobs should be done.
-      if (item.value("kind", "") != "finished" || wire::absent(item, "class")) continue;
-      auto& times = settings.within_s[wire::text_field(item, "class")];
-      times.push_back(wire::amount_field(item, "within_s"));
+      const auto kind = item.value("kind", "");
+      if (wire::absent(item, "class") || (kind != "finished" && kind != "deadline")) continue;
+      const auto name = wire::text_field(item, "class");
+      auto& times = kind == "finished" ? settings.within_s[name] : settings.deadline_times[name];
+      times.push_back(kind == "finished"            ? wire::amount_field(item, "within_s")
+                      : wire::absent(item, "times") ? 1
+                                                    : wire::amount_field(item, "times"));
       std::sort(times.begin(), times.end());
     }
   const auto& workers = section(params, "workers");
--- a/src/app/settings.hpp
+++ b/src/app/settings.hpp
@@ -47,6 +47,8 @@
   // Class -> times in which its jobs should be done, rising.
   std::map<std::string, std::vector<double>> within_s;
   std::size_t controllers = 1;
+  // Class -> multiples of their deadlines by which its jobs should be done, rising.
+  std::map<std::string, std::vector<double>> deadline_times;
   double report_s = 0;
   // What is asked again, waited for or given up goes by this: the report interval where reports are frequent,
   // and otherwise as fine as a worker's lease demands.
--- a/src/leader/leader.cpp
+++ b/src/leader/leader.cpp
@@ -129,6 +129,8 @@
   buckets_.clear();
   open_buckets_.clear();
   to_release_.clear();
+  surplus_.clear();
+  service_cores_ = 0;
   to_ask_.clear();
   awaiting_.clear();
   ready_.clear();
@@ -234,6 +236,15 @@
   if (!known) {
     job.spec = std::move(record.spec);
     if (job.live()) live_.emplace(id, &job);
+    // Jobs that are over count too: a new leader knows from the first how much comes.
+    Arrival arrival;
+    const double cores = job.spec.need.cores * job.spec.members;
+    (job.service() ? arrival.service_cores : arrival.core_s) = job.service() ? cores : cores * task_s(job);
+    arrivals_.emplace(job.accepted_at, arrival);
+    arrived_.core_s += arrival.core_s;
+    arrived_.service_cores += arrival.service_cores;
+    if (!flavors_.empty()) arrival_rate();  // drops what is too old to count
+    if (job.service()) largest_service_ = std::max(largest_service_, job.spec.need.cores);
     if (reigning_ && job.live()) {
       lead_job(job);
       place_soon();
--- a/src/leader/leader.hpp
+++ b/src/leader/leader.hpp
@@ -42,6 +42,8 @@
   std::vector<Team> teams;
   // Time in which a class's jobs should be done, from the objectives.
   std::map<std::string, std::vector<double>> within_s;  // rising
+  // Multiples of its own deadline by which a class's job should be done, from the objectives.
+  std::map<std::string, std::vector<double>> deadline_times;  // rising
   // Operator's settings.
   double alpha = 0.8;
   double phi = 0.1;
@@ -120,6 +122,10 @@
     double until = 0;
     double pause = 0;
   };
+  struct Arrival {             // a job accepted lately
+    double core_s = 0;         // of a batch
+    double service_cores = 0;  // of a service
+  };
   struct Reclaims {
     double count = 0;
     double machine_s = 0;
@@ -205,6 +211,13 @@
   void plan_soon();
   void plan_fleet();
   std::vector<planner::Work> current_work(bool& waiting);
+  void shape(std::vector<planner::Work>& work, double remaining_core_s);
+  Arrival arrival_rate();
+  double service_reserve();
+  void retire_surplus(double cores);
+  double recall_surplus(double cores);
+  void move_services();
+  double longest_boot_s() const;
   void top_up(const planner::Plan& plan, const std::vector<planner::Offer>& offers, bool waiting);
   double rent(const planner::Offer& offer, bool reclaimable, double count);
   void ask(const std::string& name);
@@ -229,6 +242,8 @@
   std::map<wire::JobId, model::Job*> live_;
   std::map<wire::JobId, model::Job*> ready_;  // live with tasks to place
   std::deque<wire::JobId> final_order_;
+  std::multimap<double, Arrival> arrivals_;  // by time of day
+  Arrival arrived_;                          // their sum
   std::vector<wire::Flavor> flavors_;
   std::uint64_t hold_ = 0;
   double valid_until_ = 0;
@@ -249,6 +264,10 @@
   std::map<wire::HostId, double> gone_;
   std::deque<std::pair<double, wire::HostId>> gone_order_;
   std::set<wire::HostId> to_release_;
+  std::set<wire::HostId> surplus_;
+  double reserve_cores_ = 0;    // of steady machines: kept free of batches for services to come
+  double largest_service_ = 0;  // cores of one task
+  double service_cores_ = 0;    // that services use
   std::map<std::string, Group> groups_;
   std::map<Pool, std::set<std::string>> open_groups_;
   std::map<std::uint64_t, Bucket> buckets_;
--- a/src/leader/placement.cpp
+++ b/src/leader/placement.cpp
@@ -40,8 +40,11 @@
   const double waited = loop().wall() - job.accepted_at;
   const double least = kHopeful * task_s(job);
   if (job.spec.due_s) {
-    const double left = *job.spec.due_s - waited;
-    return left >= least ? left : std::numeric_limits<double>::infinity();
+    static const std::vector<double> kOnce{1.0};
+    const auto times = settings_.deadline_times.find(job.spec.queue);
+    for (const double multiple : times == settings_.deadline_times.end() ? kOnce : times->second)
+      if (*job.spec.due_s * multiple - waited >= least) return *job.spec.due_s * multiple - waited;
+    return std::numeric_limits<double>::infinity();
   }
   if (const auto within = settings_.within_s.find(job.spec.queue); within != settings_.within_s.end())
     for (const double time : within->second)
@@ -131,6 +134,7 @@
   bind.try_no = wire::TryNo{(term_ << kTryBits) + ++tries_};
   bind.owner = job.spec.owner;
   bind.rank = job.spec.rank;
+  bind.service = job.service();
   bind.need = job.spec.need;
   bind.tenure = machine.tenure;
   bind.since = loop().now();
@@ -144,6 +148,10 @@
   machine.used += bind.need;
   usage_[bind.owner].used += bind.need;
   cores_by_rank_.at(static_cast<std::size_t>(bind.rank)) += bind.need.cores;
+  if (bind.service) {
+    machine.service_cores += bind.need.cores;
+    service_cores_ += bind.need.cores;
+  }
   if (const auto job = jobs_.find(bind.member.job); job != jobs_.end() && !bind.alien) {
     job->second.where[bind.member.index] = machine.host;
     ++job->second.zones[machine.rack_room];
@@ -174,6 +182,12 @@
     bool reclaimable;
   };
   std::vector<Full> full;
+  const auto steady_free = [this] {
+    double cores = 0;
+    for (const auto& [pool, state] : fleet_.pools())
+      if (!pool.reclaimable) cores += state.sums.free_cores;
+    return cores;
+  };
   bool waiting = false;
   int left = kBindsPerTurn;
   for (const auto& candidate : candidates) {
@@ -189,7 +203,11 @@
         break;
       }
       bool passed = false;
-      auto* machine = hopeless ? nullptr : pick(job, false, passed);
+      // Room that services to come will need is not given to batches.
+      const bool reserved =
+          !job.service() && steady_free() - job.spec.need.cores < reserve_cores_ - kRounding;
+      passed = passed || reserved;
+      auto* machine = hopeless || reserved ? nullptr : pick(job, false, passed);
       if (machine == nullptr && !hopeless && job.spec.reclaimable) machine = pick(job, true, passed);
       if (machine == nullptr) {
         waiting = true;
--- a/src/leader/reports.cpp
+++ b/src/leader/reports.cpp
@@ -209,6 +209,7 @@
   if (known) {
     bind.owner = job->second.spec.owner;
     bind.rank = job->second.spec.rank;
+    bind.service = job->second.service();
     bind.need = job->second.spec.need;
   } else {
     bind.need = machine.size;  // unknown: the machine counts as full
@@ -236,6 +237,10 @@
   }
   usage_[bind.owner].used -= bind.need;
   cores_by_rank_.at(static_cast<std::size_t>(bind.rank)) -= bind.need.cores;
+  if (bind.service) {
+    machine.service_cores -= bind.need.cores;
+    service_cores_ -= bind.need.cores;
+  }
   fleet_.refresh(machine);
   const auto found_job = jobs_.find(member.job);
   if (found_job != jobs_.end() && !bind.alien) {
--- a/src/model/machine.hpp
+++ b/src/model/machine.hpp
@@ -21,6 +21,7 @@
   wire::TryNo try_no;
   std::string owner;
   wire::Rank rank = wire::Rank::normal;
+  bool service = false;
   wire::Amounts need;
   wire::Tenure tenure;  // session in which it was told to start
   BindPhase phase = BindPhase::sent;
@@ -52,7 +53,9 @@
   std::size_t coming = 0;       // rented, not up yet, and still expected
   std::size_t unconfirmed = 0;  // inherited from an earlier leader, not heard in this reign
   wire::Amounts unconfirmed_size;
-  double cores = 0;  // of machines that are up or coming and stay
+  double cores = 0;         // of machines that are up or coming and stay
+  double coming_cores = 0;  // the part of them that is not up yet
+  double free_cores = 0;    // of machines that take tasks now
 
   Sums& operator+=(const Sums& other);
 };
@@ -83,8 +86,9 @@
   bool draining = false;   // takes no more tasks
   bool releasing = false;
   bool release_sent = false;
-  bool late = false;   // booting for so long that it is no longer counted on
-  bool quiet = false;  // not heard for longer than reports take
+  bool late = false;     // booting for so long that it is no longer counted on
+  bool surplus = false;  // more than the plan wants: takes no more tasks, unless the plan wants it again
+  bool quiet = false;    // not heard for longer than reports take
   std::string drain_reason;
   std::string group;  // where its record is kept
 
@@ -105,6 +109,7 @@
   std::map<wire::MemberId, Bind> binds;
   std::map<wire::MemberId, Leftover> leftovers;
   wire::Amounts used;
+  double service_cores = 0;      // the part of it that services use
   std::set<std::string> images;  // bundles seen ready here
   std::uint32_t errors_in_row = 0;
   std::set<wire::JobId> error_jobs;
@@ -115,7 +120,9 @@
     free -= used;
     return free;
   }
-  bool takes_tasks() const { return up && recorded && confirmed && !lost && !draining && !releasing; }
+  bool takes_tasks() const {
+    return up && recorded && confirmed && !lost && !draining && !releasing && !surplus;
+  }
 };
 
 }  // namespace bankhill::model
