--- a/src/leader/fleet.cpp
+++ b/src/leader/fleet.cpp
@@ -260,10 +260,12 @@
   for (const auto& [name, rental] : rentals_)
     if (const auto* type = flavor(rental.record.flavor); type != nullptr && !rental.record.hosts)
       there[rental.record.reclaimable ? 1 : 0] += type->size.cores * rental.record.count;
-  if (there[0] > kSurplus * wanted[0]) {
-    retire_surplus(there[0] - kSurplus * wanted[0]);
-  } else if (wanted[0] > there[0]) {
-    there[0] += recall_surplus(wanted[0] - there[0]);
+  // What the cloud has no spot machines for, steady ones do.
+  const double steady_use = wanted[0] + std::max(0.0, wanted[1] - there[1]);
+  if (there[0] > kSurplus * steady_use) {
+    retire_surplus(there[0] - kSurplus * steady_use);
+  } else if (steady_use > there[0]) {
+    there[0] += recall_surplus(steady_use - there[0]);
   }
   move_services();
   double missing[2] = {wanted[0] - there[0], wanted[1] - there[1]};
@@ -288,10 +290,7 @@
     }
     // Exception to the design (its first doubt): alpha's budget that no spot type can take must not stay
     // unspent while work waits.
-    if (spot && lack > 0 && waiting) {
-      missing[0] += lack;
-      missing[0] -= recall_surplus(std::max(0.0, missing[0]));
-    }
+    if (spot && lack > 0 && waiting) missing[0] += lack;
   }
   // Ready work that no machine can take earns its type at least one machine.
   std::vector<bool> earned(offers.size(), false);
--- a/src/leader/leader.hpp
+++ b/src/leader/leader.hpp
@@ -204,7 +204,8 @@
   model::Machine* pick(const model::Job& job, bool reclaimable, bool& passed);
   void answer_awaiting();
   void bind(model::Machine& machine, model::Job& job, std::uint32_t index);
-  void make_room(model::Job& job);
+  bool make_room(model::Job& job, bool with_image);
+  bool crowded(const model::Machine& machine, const model::Job& job) const;
   double task_s(const model::Job& job) const;
 
   // Fleet (fleet.cpp)
--- a/src/leader/placement.cpp
+++ b/src/leader/placement.cpp
@@ -17,8 +17,10 @@
 namespace {
 constexpr double kLongRounds = 20;  // a task that runs on for longer gives nothing back soon
 constexpr int kBindsPerTurn = 200;
-constexpr std::size_t kRoomLook = 48;  // machines looked at for a task that needs others stopped
-constexpr unsigned kTryBits = 24;      // attempts of one term; the term is above them
+constexpr double kServicesTogether = 8;  // may be on one machine in any case
+constexpr double kServiceShare = 0.04;   // of all services: may be on one machine
+constexpr std::size_t kRoomLook = 48;    // machines looked at for a task that needs others stopped
+constexpr unsigned kTryBits = 24;        // attempts of one term; the term is above them
 constexpr double kRounding = 1e-6;
 // Guesses are often wrong by half: a job counts as too late only when even this part of its guess does not
 // fit.
@@ -108,6 +110,13 @@
   return !spec.scatter || here < (spec.members + 1) / 2;
 }
 
+// One machine's end must not take too large a part of all services with it.
+bool Leader::crowded(const Machine& machine, const Job& job) const {
+  if (!job.service()) return false;
+  const double most = std::max(kServicesTogether * job.spec.need.cores, kServiceShare * service_cores_);
+  return machine.service_cores + job.spec.need.cores > most + kRounding;
+}
+
 // `passed`: a machine with room was passed over for a reason that is this task's own.
 Machine* Leader::pick(const Job& job, bool reclaimable, bool& passed) {
   model::Fleet::Choice choice{
@@ -119,8 +128,8 @@
         return type == nullptr || type->pull_gb_per_s <= 0 ? 0.0 : job.spec.size_gb / type->pull_gb_per_s;
       },
       [&](const Machine& machine) {
-        return !job.failed_on.contains(machine.host) && zone_allows(job, machine.rack_room) &&
-               !machine.leftovers.contains({job.spec.uid, job.cursor});
+        return !job.failed_on.contains(machine.host) && !crowded(machine, job) &&
+               zone_allows(job, machine.rack_room) && !machine.leftovers.contains({job.spec.uid, job.cursor});
       },
       false};
   auto* machine = fleet_.pick(choice);
@@ -209,12 +218,16 @@
       passed = passed || reserved;
       auto* machine = hopeless || reserved ? nullptr : pick(job, false, passed);
       if (machine == nullptr && !hopeless && job.spec.reclaimable) machine = pick(job, true, passed);
+      // A service that would have to wait for its image starts sooner where a batch makes room beside it.
+      if (machine != nullptr && job.service() && !machine->images.contains(job.spec.bundle) &&
+          make_room(job, true))
+        break;
       if (machine == nullptr) {
         waiting = true;
         job.reason = "no machine has room yet";
         if (!hopeless && !passed && !job.spec.flavors && !job.spec.rack_room)
           full.push_back({job.spec.need, job.spec.reclaimable});
-        make_room(job);
+        make_room(job, false);
         break;
       }
       bind(*machine, job, index);
@@ -246,10 +259,11 @@
 
 // Preemption: stops tasks of lower rank, or of a team above its guarantee when this job's team is within
 // its own, on the one machine where the least progress is lost.
-void Leader::make_room(Job& job) {
+// `with_image`: only where the image is. Says whether room is on its way.
+bool Leader::make_room(Job& job, bool with_image) {
   const double now = loop().now();
   // What was stopped for it before is on its way.
-  if (now - job.made_room_at < settings_.pace_s) return;
+  if (now - job.made_room_at < settings_.pace_s) return !with_image;
   // Stopped work is mostly lost, and borrowed room comes back by itself as tasks end: taken back by force
   // is only what long tasks would not give back soon, when a whole round has not brought enough.
   const bool guaranteed = within_guarantee(job) && loop().wall() - job.accepted_at > settings_.round_s &&
@@ -261,7 +275,7 @@
   double lower_cores = 0;
   for (std::size_t rank = 0; rank < static_cast<std::size_t>(job.spec.rank); ++rank)
     lower_cores += cores_by_rank_.at(rank);
-  if (!guaranteed && lower_cores < kRounding) return;
+  if (!guaranteed && lower_cores < kRounding) return false;
   Machine* best = nullptr;
   std::vector<wire::MemberId> best_victims;
   std::pair<bool, double> best_loss{true, std::numeric_limits<double>::max()};
@@ -295,12 +309,13 @@
     }
     // Room on a machine that must fetch the image first is of use only later.
     const std::pair costs{!machine.images.contains(job.spec.bundle), loss};
+    if ((with_image && costs.first) || crowded(machine, job)) return;
     if (victims.empty() || !job.spec.need.fits(room) || costs >= best_loss) return;
     best = &machine;
     best_victims = std::move(victims);
     best_loss = costs;
   });
-  if (best == nullptr) return;
+  if (best == nullptr) return false;
   job.made_room_at = now;
   for (const auto& member : best_victims) {
     auto& bind = best->binds.at(member);
@@ -309,6 +324,7 @@
     ++tally_["tasks made room"];
     stop(*best, bind, spec.snapshot_every_s > 0 ? spec.flush_s : 0);
   }
+  return true;
 }
 
 }  // namespace bankhill::leader
