--- a/src/leader/leader.hpp
+++ b/src/leader/leader.hpp
@@ -87,6 +87,7 @@
  private:
   struct Usage {
     wire::Amounts used;
+    double service_cores = 0;  // the part of it that services use
   };
   using Then = std::function<void()>;
   struct Intent {
--- a/src/leader/placement.cpp
+++ b/src/leader/placement.cpp
@@ -160,6 +160,7 @@
   if (bind.service) {
     machine.service_cores += bind.need.cores;
     service_cores_ += bind.need.cores;
+    usage_[bind.owner].service_cores += bind.need.cores;
   }
   if (const auto job = jobs_.find(bind.member.job); job != jobs_.end() && !bind.alien) {
     job->second.where[bind.member.index] = machine.host;
@@ -296,8 +297,12 @@
       if (other == jobs_.end() || bind.owner.empty()) continue;
       const auto* owner = team(bind.owner);
       const bool lower = other->second.spec.rank < job.spec.rank;
+      // A team's services count towards its guarantee first: it is its batches that borrow. Stopped for
+      // that, services were down all day while their team's batches went on (lakaskalk-grown).
+      const auto& usage = usage_[bind.owner];
+      const double counted = bind.service ? usage.service_cores : usage.used.cores;
       const bool borrowed = guaranteed && owner != nullptr && bind.owner != job.spec.owner &&
-                            usage_[bind.owner].used.cores > owner->guarantee.cores + kRounding;
+                            counted > owner->guarantee.cores + kRounding;
       const double left =
           other->second.service()
               ? std::numeric_limits<double>::max()
--- a/src/leader/reports.cpp
+++ b/src/leader/reports.cpp
@@ -240,6 +240,7 @@
   if (bind.service) {
     machine.service_cores -= bind.need.cores;
     service_cores_ -= bind.need.cores;
+    usage_[bind.owner].service_cores -= bind.need.cores;
   }
   fleet_.refresh(machine);
   const auto found_job = jobs_.find(member.job);
