--- a/src/leader/fleet.cpp
+++ b/src/leader/fleet.cpp
@@ -145,12 +145,12 @@
 // A machine that is rented now helps only after its boot, when a burst of short tasks may have passed:
 // batches are counted for what the machines that run will not have done by then, and for what comes steadily.
 void Leader::shape(std::vector<planner::Work>& work, double remaining_core_s) {
-  double parallel = 0;  // cores that the batches would keep busy over their windows
-  double urgency = 0;
+  double parallel = 0;  // cores of all their tasks at once
+  double urgency = 0;   // cores that they would keep busy over their windows
   for (const auto& item : work) {
     if (item.service) continue;
     const double cores = item.tasks * item.need.cores;
-    parallel += cores * std::min(1.0, item.task_s / item.window_s);
+    parallel += cores;
     urgency += cores * item.task_s / item.window_s;
   }
   if (parallel <= 0) return;
@@ -162,8 +162,11 @@
   const double left = std::max(0.0, remaining_core_s + (demand - running) * boot);
   const double window = std::max(1.0, remaining_core_s / urgency);
   const double factor = std::min(1.0, (demand + left / window) / parallel);
-  for (auto& item : work)
-    if (!item.service) item.tasks *= factor;
+  for (auto& item : work) {
+    if (item.service) continue;
+    item.tasks *= factor;
+    item.window_s = item.task_s;  // what remains of it is in the factor
+  }
 }
 
 // Steady machines beyond the plan take no more tasks, those first that hold the least of services: kept busy
