--- a/src/leader/placement.cpp
+++ b/src/leader/placement.cpp
@@ -15,7 +15,11 @@
 using wire::Verb;
 
 namespace {
-constexpr double kLongRounds = 20;  // a task that runs on for longer gives nothing back soon
+// A task that runs on for longer gives nothing back soon. Taken from shorter ones, room went round in
+// circles: the stopped tasks started elsewhere and were stopped again, and little was finished
+// (lakaskalk-grown, rough).
+constexpr double kLongRounds = 60;
+constexpr double kRoomComes = 0.15;  // paces that a task needs to stop and tell
 constexpr int kBindsPerTurn = 200;
 constexpr double kServicesTogether = 8;  // may be on one machine in any case
 constexpr double kServiceShare = 0.04;   // of all services: may be on one machine
@@ -264,7 +268,8 @@
 bool Leader::make_room(Job& job, bool with_image) {
   const double now = loop().now();
   // What was stopped for it before is on its way.
-  if (now - job.made_room_at < settings_.pace_s) return !with_image;
+  if (now - job.made_room_at < settings_.pace_s)
+    return now - job.made_room_at < kRoomComes * settings_.pace_s;
   // Stopped work is mostly lost, and borrowed room comes back by itself as tasks end: taken back by force
   // is only what long tasks would not give back soon, when a whole round has not brought enough.
   const bool guaranteed = within_guarantee(job) && loop().wall() - job.accepted_at > settings_.round_s &&
