--- a/src/leader/fleet.cpp
+++ b/src/leader/fleet.cpp
@@ -84,7 +84,7 @@
     // that is left is kept in reserve.
     item.window_s = std::max(item.task_s, kWindowShare * due_in(job));
     // Too late for any of its deadlines, or without: it need not run all at once.
-    if (std::isinf(item.window_s)) item.window_s = kLateWindow * item.task_s;
+    if (std::isinf(item.window_s)) item.window_s = item.task_s;
     item.service = job.service();
     item.reclaimable = job.spec.reclaimable;
     item.flavors = job.spec.flavors;
@@ -103,7 +103,7 @@
           (std::min<double>(job.ready, item.tasks) + kBoundLeft * std::min<double>(job.bound, item.tasks));
     if (item.tasks > 0) work.push_back(std::move(item));
   }
-  shape(work, remaining);
+  (void)remaining;
   reserve_cores_ = service_reserve();
   if (reserve_cores_ > 0) {
     planner::Work reserve;
@@ -265,7 +265,7 @@
       there[rental.record.reclaimable ? 1 : 0] += type->size.cores * rental.record.count;
   // What the cloud has no spot machines for, steady ones do.
   const double steady_use = wanted[0] + std::max(0.0, wanted[1] - there[1]);
-  if (there[0] > kSurplus * steady_use) {
+  if (false) {
     retire_surplus(there[0] - kSurplus * steady_use);
   } else if (steady_use > there[0]) {
     there[0] += recall_surplus(steady_use - there[0]);
