--- a/src/app/node.cpp
+++ b/src/app/node.cpp
@@ -15,6 +15,7 @@
   result.lease_s = settings.lease_s;
   result.cancel_s = settings.cancel_s;
   result.list_lag_s = settings.list_lag_s;
+  result.controllers = settings.controllers;
   result.txn_ops = settings.state_txn_ops;
   result.value_kb = settings.state_value_kb;
   result.final_states_kept = settings.own.final_states_kept;
@@ -66,6 +67,7 @@
           [this] { return relay_.any_sibling(); }),
       leader_(loop, log, leader_settings(settings, incarnation),
               {store_, cloud_, client, [this] { elector_.tell(election::RaiseTerm{}); },
+               [this] { elector_.tell(election::Resign{}); }, [this] { return relay_.any_sibling(); },
                [this](wire::Progress progress) {
                  gateway_.tell(gateway::Progressed{progress});
                  relay_.tell(net::Broadcast{std::move(progress)});
--- a/src/election/elector.cpp
+++ b/src/election/elector.cpp
@@ -8,8 +8,10 @@
 using wire::Json;
 
 namespace {
-constexpr double kLetOthersFirst = 2;  // in times-to-live of the leader's lease
-}
+// In times-to-live of the leader's lease.
+constexpr double kLetOthersFirst = 2;
+constexpr double kAbstain = 16;
+}  // namespace
 
 Timing timing_from(double lease_s, double cancel_s) {
   Timing timing;
@@ -73,7 +75,8 @@
     // One that hears no sibling is rather on the smaller side of a cut, where fewer workers reach it: it
     // lets the others go first.
     if (vacant_since_ < 0) vacant_since_ = loop().now();
-    if (connected_() || loop().now() - vacant_since_ > kLetOthersFirst * timing_.ttl_s) campaign();
+    const bool fit = connected_() && loop().now() >= abstain_until_;
+    if (fit || loop().now() - vacant_since_ > kLetOthersFirst * timing_.ttl_s) campaign();
     return;
   }
   vacant_since_ = -1;
@@ -143,6 +146,14 @@
   if (record && record->hold != hold) lost();
 }
 
+void Elector::on(Resign&) {
+  if (!leading()) return;
+  log_->warn("election: giving the leadership up to a sibling");
+  abstain_until_ = loop().now() + kAbstain * timing_.ttl_s;
+  store_.tell(state::EndLease{hold_});
+  lost();
+}
+
 void Elector::on(RaiseTerm&) {
   if (!leading() || raising_) return;
   raising_ = true;
--- a/src/election/elector.hpp
+++ b/src/election/elector.hpp
@@ -34,8 +34,9 @@
   state::Changes changes;
 };
 struct RaiseTerm {};  // makes direct commands of the current term void
+struct Resign {};     // gives the leadership up, and leaves it to others for some time
 
-class Elector : public runtime::Actor<Elector, Changed, RaiseTerm> {
+class Elector : public runtime::Actor<Elector, Changed, RaiseTerm, Resign> {
  public:
   Elector(runtime::Loop& loop, state::Store& store, runtime::Log log, std::string node,
           std::uint64_t incarnation, Timing timing, std::function<void(Validity)> on_validity,
@@ -44,6 +45,7 @@
 
   void on(Changed& message);
   void on(RaiseTerm& message);
+  void on(Resign& message);
 
  private:
   void consider();
@@ -65,6 +67,7 @@
   state::View view_;
   std::uint64_t hold_ = 0;  // 0: no lease
   double vacant_since_ = -1;
+  double abstain_until_ = -1;
   bool campaigning_ = false;
   bool raising_ = false;
   runtime::Timer retry_;
--- a/src/leader/leader.cpp
+++ b/src/leader/leader.cpp
@@ -16,6 +16,10 @@
 constexpr double kWatchS = 1.0;  // in which the watch goes round the fleet once
 constexpr double kSettleS = 1.0;
 constexpr double kCatalogueRounds = 4;  // the catalogue is read again every so many rounds
+constexpr std::size_t kSample = 24;     // machines asked to see how far the leader reaches
+constexpr std::size_t kSampleLeast = 4;
+constexpr double kSampleFailed = 0.6;   // of them unanswered: another controller will do better
+constexpr std::size_t kSuspect = 3;     // direct requests unanswered within a pace
 constexpr std::size_t kAskAtOnce = 64;  // machines asked directly at the same time when a reign begins
 
 bool has_prefix(const std::string& key, const std::string& prefix) { return key.starts_with(prefix); }
@@ -135,6 +139,7 @@
   awaiting_.clear();
   ready_.clear();
   asking_ = 0;
+  unanswered_ = sample_out_ = 0;
   records_made_ = 0;
   committing_ = raising_ = listing_ = releasing_ = false;
 }
@@ -335,10 +340,43 @@
   }
   if (now >= next_progress_) publish_progress();
   if (now >= next_summary_) summarize();
+  check_reach();
   send_releases();
   flush();
 }
 
+// A leader on the small side of a cut between zones, or cut off from the workers, keeps its lease through the
+// state service and can give orders to few: it looks how far it reaches, and gives way.
+void Leader::check_reach() {
+  const double now = loop().now();
+  if (now >= next_unanswered_) {
+    next_unanswered_ = now + settings_.pace_s;
+    unanswered_ = 0;
+  }
+  if (now < next_sample_ || sample_out_ > 0 || settings_.controllers < 2) return;
+  // One that has just begun asks everybody anyway; and two must not pass it to and fro.
+  if (now - reign_since_ < settings_.lease_s / 2) return;
+  if (unanswered_ < kSuspect && ports_.sibling_heard()) return;
+  next_sample_ = now + 2 * settings_.pace_s;
+  std::vector<Machine*> able;
+  for (auto& [host, machine] : fleet_)
+    if (machine.up && machine.confirmed && !machine.quiet && !machine.releasing) able.push_back(&machine);
+  if (able.size() < kSampleLeast) return;
+  std::shuffle(able.begin(), able.end(), loop().random());
+  able.resize(std::min(able.size(), kSample));
+  sample_size_ = sample_out_ = able.size();
+  sample_failed_ = 0;
+  for (auto* machine : able)
+    send_direct(*machine, {}, [this, host = machine->host] {
+      const auto* asked = fleet_.peek(host);
+      if (asked != nullptr && asked->probes_unanswered > 0) ++sample_failed_;
+      if (sample_out_ == 0 || --sample_out_ > 0) return;
+      if (static_cast<double>(sample_failed_) <= kSampleFailed * static_cast<double>(sample_size_)) return;
+      log_->warn("leader: {} of {} machines cannot be reached from here", sample_failed_, sample_size_);
+      ports_.resign();
+    });
+}
+
 // At a thousand machines a line for each event would cost more than the event: the log gets their number.
 void Leader::summarize() {
   next_summary_ = loop().now() + settings_.pace_s;
--- a/src/leader/leader.hpp
+++ b/src/leader/leader.hpp
@@ -36,6 +36,7 @@
   double lease_s = 40;
   double cancel_s = 60;
   double list_lag_s = 5;
+  std::size_t controllers = 1;
   std::size_t txn_ops = 16;
   double value_kb = 8;
   std::size_t final_states_kept = 20000;
@@ -71,6 +72,8 @@
     cloud::Cloud& cloud;
     net::Client& workers;
     std::function<void()> raise_term;
+    std::function<void()> resign;
+    std::function<bool()> sibling_heard;
     std::function<void(wire::Progress)> progress;
   };
 
@@ -147,6 +150,7 @@
   void adopt_finished(const std::string& key, const wire::Json& data);
   void ask_unconfirmed();
   void summarize();
+  void check_reach();
   void resync();
   void fetch_catalogue();
   void publish_progress();
@@ -279,6 +283,12 @@
   std::size_t asking_ = 0;
   std::vector<Awaiting> awaiting_;
   wire::HostId room_cursor_;
+  std::size_t unanswered_ = 0;  // direct requests, since the reach was looked at
+  std::size_t sample_out_ = 0;
+  std::size_t sample_failed_ = 0;
+  std::size_t sample_size_ = 0;
+  double next_sample_ = 0;
+  double next_unanswered_ = 0;
   std::map<std::string, std::uint64_t> tally_;  // of what happened since the last summary in the log
   std::map<Pool, Stockout> stockouts_;
   std::map<std::string, Reclaims> reclaims_;
--- a/src/leader/reports.cpp
+++ b/src/leader/reports.cpp
@@ -421,6 +421,7 @@
   }
   if (!certain) {
     ++machine.probes_unanswered;
+    ++unanswered_;
     return;
   }
   try {
--- a/tests/sim_test.cpp
+++ b/tests/sim_test.cpp
@@ -143,6 +143,11 @@
   const auto starts = world.starts();
   for (const auto* zone : {"workers-za", "workers-zb"})
     world.cut("node-" + std::to_string(leader), zone, 35, false);
+  world.run(70);
+  EXPECT_GE(world.leader(), 0);
+  if (before.size() >= 4) {
+    EXPECT_NE(world.leader(), leader) << "a leader that reaches no worker kept the leadership";
+  }
   world.run(85);
   for (const auto& host : before) EXPECT_TRUE(world.machines().contains(host)) << host << " was released";
   EXPECT_EQ(world.starts(), starts) << "tasks were started again";
