--- a/src/app/main.cpp
+++ b/src/app/main.cpp
@@ -20,7 +20,7 @@
 constexpr int kExitFailure = 1;
 constexpr int kExitSettings = 2;
 constexpr double kClientTimeoutS = 5;
-constexpr double kIdleShare = 0.2;  // of the sockets: kept open to workers between two requests
+constexpr double kIdleShare = 0.1;  // of the sockets: kept open to workers between two requests
 
 std::string log_level() {
   const char* level = std::getenv("LOG_LEVEL");
--- a/src/leader/fleet.cpp
+++ b/src/leader/fleet.cpp
@@ -26,7 +26,8 @@
 constexpr double kDemandBoots = 4;  // boot times over which arrivals are averaged
 constexpr double kDemandMargin = 1.2;
 constexpr double kReservePaces = 2;    // services that come within this find room
-constexpr double kSurplus = 1.2;       // times what the plan wants
+constexpr double kSurplus = 1.2;       // times the most that the plan wanted
+constexpr double kSurplusBoots = 1.5;  // within so many boot times
 constexpr double kMovedAtOnce = 0.01;  // of the services
 constexpr double kSettledPaces = 12;
 constexpr double kPlanGap = 0.3;  // between two plans made on events
@@ -265,8 +266,14 @@
       there[rental.record.reclaimable ? 1 : 0] += type->size.cores * rental.record.count;
   // What the cloud has no spot machines for, steady ones do.
   const double steady_use = wanted[0] + std::max(0.0, wanted[1] - there[1]);
-  if (false) {
-    retire_surplus(there[0] - kSurplus * steady_use);
+  // Surplus is what was not wanted for some time: bursts come back, and a machine costs its boot again.
+  while (!wanted_steady_.empty() && wanted_steady_.back().second <= steady_use) wanted_steady_.pop_back();
+  wanted_steady_.emplace_back(loop().now(), steady_use);
+  const double since = loop().now() - kSurplusBoots * longest_boot_s();
+  while (wanted_steady_.front().first < since) wanted_steady_.pop_front();
+  const double most = kSurplus * wanted_steady_.front().second;
+  if (there[0] > most && loop().now() - reign_since_ > kSurplusBoots * longest_boot_s()) {
+    retire_surplus(there[0] - most);
   } else if (steady_use > there[0]) {
     there[0] += recall_surplus(steady_use - there[0]);
   }
--- a/src/leader/leader.cpp
+++ b/src/leader/leader.cpp
@@ -134,6 +134,7 @@
   open_buckets_.clear();
   to_release_.clear();
   surplus_.clear();
+  wanted_steady_.clear();
   service_cores_ = 0;
   to_ask_.clear();
   awaiting_.clear();
--- a/src/leader/leader.hpp
+++ b/src/leader/leader.hpp
@@ -271,6 +271,7 @@
   std::deque<std::pair<double, wire::HostId>> gone_order_;
   std::set<wire::HostId> to_release_;
   std::set<wire::HostId> surplus_;
+  std::deque<std::pair<double, double>> wanted_steady_;  // cores by time, falling
   double reserve_cores_ = 0;    // of steady machines: kept free of batches for services to come
   double largest_service_ = 0;  // cores of one task
   double service_cores_ = 0;    // that services use
