--- a/src/leader/fleet.cpp
+++ b/src/leader/fleet.cpp
@@ -1,7 +1,6 @@
 // Rentals and releases: rounds (the paper's Algorithm 3), silent machines, the cloud's list.
 #include <algorithm>
 #include <cmath>
-#include <tuple>
 #include <utility>
 
 #include "leader/leader.hpp"
@@ -14,23 +13,18 @@
 constexpr double kLatestReport =
     1.25;  // report intervals: the protocol's report interval varies by a quarter
 // Beyond the latest report, in paces.
-constexpr double kProbeAfter = 0.45;            // silence after which a machine is asked directly
-constexpr double kSilentAfter = 1.75;           // silence after which it is given up
+constexpr double kProbeAfter = 0.45;   // silence after which a machine is asked directly
+constexpr double kSilentAfter = 1.75;  // silence after which it is given up
+constexpr double kServiceProbe = 0.5;  // report intervals after which a machine with services is asked
+constexpr double kServiceSilent = 3;   // paces after which one that does not answer is given up
 constexpr std::uint32_t kProbesUnanswered = 2;  // with at least so many unanswered
 constexpr double kAskedAgain = 3;     // paces after which one that this reign never heard is given up
 constexpr double kMassShare = 0.4;    // more machines silent than this: it is our network, not theirs
 constexpr double kWindowShare = 0.5;  // of the time left until a job is due
 constexpr double kRounding = 1e-6;
-constexpr double kLateWindow = 4;   // run times that a job without a deadline to meet may take
-constexpr double kBoundLeft = 0.5;  // of a task that was started, on average
-constexpr double kDemandBoots = 4;  // boot times over which arrivals are averaged
-constexpr double kDemandMargin = 1.2;
-constexpr double kReservePaces = 2;    // services that come within this find room
-constexpr double kSurplus = 1.2;       // times the most that the plan wanted
-constexpr double kSurplusBoots = 1.5;  // within so many boot times
-constexpr double kMovedAtOnce = 0.01;  // of the services
-constexpr double kSettledPaces = 12;
-constexpr double kPlanGap = 0.3;  // between two plans made on events
+constexpr double kDemandBoots = 4;   // boot times over which arrivals are averaged
+constexpr double kReservePaces = 2;  // services that come within this find room
+constexpr double kPlanGap = 0.3;     // between two plans made on events
 // Ratios to a type's usual boot time.
 constexpr double kBootLate = 2;         // no longer counted as coming
 constexpr double kBootNever = 5;        // given up
@@ -73,7 +67,6 @@
 std::vector<planner::Work> Leader::current_work(bool& waiting) {
   std::vector<planner::Work> work;
   std::map<std::string, double> cores;
-  double remaining = 0;  // core seconds of batches
   for (const auto& [id, pointer] : live_) {
     const auto& job = *pointer;
     if (loop().now() < job.blocked_until) continue;
@@ -84,7 +77,6 @@
     // The period in which the work should be done. Estimates are often wrong by half: part of the time
     // that is left is kept in reserve.
     item.window_s = std::max(item.task_s, kWindowShare * due_in(job));
-    // Too late for any of its deadlines, or without: it need not run all at once.
     if (std::isinf(item.window_s)) item.window_s = item.task_s;
     item.service = job.service();
     item.reclaimable = job.spec.reclaimable;
@@ -98,13 +90,8 @@
       used += item.tasks * item.need.cores;
     }
     if (job.ready > 0) waiting = true;
-    if (!item.service)
-      remaining +=
-          item.need.cores * item.task_s *
-          (std::min<double>(job.ready, item.tasks) + kBoundLeft * std::min<double>(job.bound, item.tasks));
     if (item.tasks > 0) work.push_back(std::move(item));
   }
-  (void)remaining;
   reserve_cores_ = service_reserve();
   if (reserve_cores_ > 0) {
     planner::Work reserve;
@@ -123,124 +110,23 @@
   return longest;
 }
 
-// What was accepted lately, a second.
-Leader::Arrival Leader::arrival_rate() {
+// Cores of services accepted lately, a second.
+double Leader::service_rate() {
   const double window = kDemandBoots * std::max(1.0, longest_boot_s());
   const double since = loop().wall() - window;
-  while (!arrivals_.empty() && arrivals_.begin()->first < since) {
-    arrived_.core_s -= arrivals_.begin()->second.core_s;
-    arrived_.service_cores -= arrivals_.begin()->second.service_cores;
-    arrivals_.erase(arrivals_.begin());
-  }
-  if (arrivals_.empty()) arrived_ = {};
-  return {arrived_.core_s / window, arrived_.service_cores / window};
+  for (; !arrivals_.empty() && arrivals_.begin()->first < since; arrivals_.erase(arrivals_.begin()))
+    arrived_ -= arrivals_.begin()->second;
+  if (arrivals_.empty()) arrived_ = 0;
+  return arrived_ / window;
 }
 
 // A service starts at once only where room and image are at hand: about what comes within a short while.
 double Leader::service_reserve() {
-  const double rate = arrival_rate().service_cores;
+  const double rate = service_rate();
   if (rate <= 0 || largest_service_ <= 0) return 0;
   return largest_service_ * std::ceil(rate * kReservePaces * settings_.pace_s / largest_service_ - kRounding);
 }
 
-// A machine that is rented now helps only after its boot, when a burst of short tasks may have passed:
-// batches are counted for what the machines that run will not have done by then, and for what comes steadily.
-void Leader::shape(std::vector<planner::Work>& work, double remaining_core_s) {
-  double parallel = 0;  // cores of all their tasks at once
-  double urgency = 0;   // cores that they would keep busy over their windows
-  for (const auto& item : work) {
-    if (item.service) continue;
-    const double cores = item.tasks * item.need.cores;
-    parallel += cores;
-    urgency += cores * item.task_s / item.window_s;
-  }
-  if (parallel <= 0) return;
-  double running = -service_cores_;
-  for (const auto& [pool, state] : fleet_.pools()) running += state.sums.cores - state.sums.coming_cores;
-  running = std::max(0.0, running);
-  const double boot = longest_boot_s();
-  const double demand = kDemandMargin * arrival_rate().core_s;
-  const double left = std::max(0.0, remaining_core_s + (demand - running) * boot);
-  const double window = std::max(1.0, remaining_core_s / urgency);
-  const double factor = std::min(1.0, (demand + left / window) / parallel);
-  for (auto& item : work) {
-    if (item.service) continue;
-    item.tasks *= factor;
-    item.window_s = item.task_s;  // what remains of it is in the factor
-  }
-}
-
-// Steady machines beyond the plan take no more tasks, those first that hold the least of services: kept busy
-// by "steady first" they would never become idle (the paper's 2.2.3, "consolidate instances").
-void Leader::retire_surplus(double cores) {
-  std::vector<Machine*> steady;
-  for (auto& [host, machine] : fleet_)
-    if (!machine.reclaimable && machine.takes_tasks()) steady.push_back(&machine);
-  std::sort(steady.begin(), steady.end(), [](const Machine* a, const Machine* b) {
-    return std::tuple(a->service_cores / a->size.cores, b->size.cores, a->number) <
-           std::tuple(b->service_cores / b->size.cores, a->size.cores, b->number);
-  });
-  for (auto* machine : steady) {
-    if (machine->size.cores > cores) continue;
-    cores -= machine->size.cores;
-    machine->surplus = true;
-    surplus_.insert(machine->host);
-    ++tally_["machines beyond the plan"];
-    fleet_.refresh(*machine);
-  }
-}
-
-// Takes back into use what was surplus, before anything is rented; says how many cores that gave.
-double Leader::recall_surplus(double cores) {
-  double got = 0;
-  while (got < cores - kRounding && !surplus_.empty()) {
-    // Those with the most left on them, as what is nearly empty is nearly returned.
-    const auto host =
-        *std::max_element(surplus_.begin(), surplus_.end(), [this](const auto& a, const auto& b) {
-          const auto* x = fleet_.peek(a);
-          const auto* y = fleet_.peek(b);
-          return (x == nullptr ? -1 : x->used.cores) < (y == nullptr ? -1 : y->used.cores);
-        });
-    surplus_.erase(host);
-    auto* machine = fleet_.find(host);
-    if (machine == nullptr || machine->releasing || machine->draining) continue;
-    machine->surplus = false;
-    fleet_.refresh(*machine);
-    got += machine->size.cores;
-    place_soon();
-  }
-  return got;
-}
-
-// Services that alone keep a surplus machine rented move, a few at a time.
-void Leader::move_services() {
-  const double now = loop().now();
-  double moving = kMovedAtOnce * service_cores_;
-  for (const auto& host : surplus_) {
-    auto* machine = fleet_.find(host);
-    if (machine == nullptr || machine->quiet || machine->used.cores > machine->service_cores + kRounding)
-      continue;
-    for (auto& [member, bind] : machine->binds) {
-      if (bind.stopping) moving -= bind.need.cores;
-      if (moving < bind.need.cores) return;
-      // The protocol counts a start only if nothing stops it soon after.
-      if (bind.stopping || bind.running_since <= 0 ||
-          now - bind.running_since < kSettledPaces * settings_.pace_s)
-        continue;
-      const auto job = live_.find(member.job);
-      if (job == live_.end()) continue;
-      bool passed = false;
-      if (const auto* other = pick(*job->second, false, passed);
-          other == nullptr || !other->images.contains(job->second->spec.bundle))
-        continue;
-      moving -= bind.need.cores;
-      ++tally_["services moved"];
-      const auto& spec = job->second->spec;
-      stop(*machine, bind, spec.snapshot_every_s > 0 ? spec.flush_s : 0);
-    }
-  }
-}
-
 void Leader::plan_fleet() {
   if (!valid() || flavors_.empty()) return;
   last_plan_ = loop().now();
@@ -264,20 +150,6 @@
   for (const auto& [name, rental] : rentals_)
     if (const auto* type = flavor(rental.record.flavor); type != nullptr && !rental.record.hosts)
       there[rental.record.reclaimable ? 1 : 0] += type->size.cores * rental.record.count;
-  // What the cloud has no spot machines for, steady ones do.
-  const double steady_use = wanted[0] + std::max(0.0, wanted[1] - there[1]);
-  // Surplus is what was not wanted for some time: bursts come back, and a machine costs its boot again.
-  while (!wanted_steady_.empty() && wanted_steady_.back().second <= steady_use) wanted_steady_.pop_back();
-  wanted_steady_.emplace_back(loop().now(), steady_use);
-  const double since = loop().now() - kSurplusBoots * longest_boot_s();
-  while (wanted_steady_.front().first < since) wanted_steady_.pop_front();
-  const double most = kSurplus * wanted_steady_.front().second;
-  if (there[0] > most && loop().now() - reign_since_ > kSurplusBoots * longest_boot_s()) {
-    retire_surplus(there[0] - most);
-  } else if (steady_use > there[0]) {
-    there[0] += recall_surplus(steady_use - there[0]);
-  }
-  move_services();
   double missing[2] = {wanted[0] - there[0], wanted[1] - there[1]};
   // Whatever covers what is missing at the least cost: a machine much larger than that would stand idle for
   // the most part. What a type cannot give is asked of the next.
@@ -478,8 +350,12 @@
   const double probe = latest + kProbeAfter * settings_.pace_s;
   const double silent = latest + kSilentAfter * settings_.pace_s;
   const double silence = now - machine.last_contact;
-  if (silence > probe && now - machine.last_probe > settings_.pace_s) send_direct(machine, {});
-  if (!machine.quiet && silence > probe) {
+  // Services are missed at once: their machines are asked between two reports, and given up sooner.
+  const bool watched = machine.service_cores > 0;
+  const double ask_after = watched ? std::min(probe, kServiceProbe * settings_.report_s) : probe;
+  const double silent_after = watched ? std::min(silent, kServiceSilent * settings_.pace_s) : silent;
+  if (silence > ask_after && now - machine.last_probe > settings_.pace_s) send_direct(machine, {});
+  if (!machine.quiet && (silence > probe || (watched && machine.probes_unanswered > 0))) {
     machine.quiet = true;
     fleet_.refresh(machine);
   }
@@ -507,8 +383,6 @@
     doubtful_ = doubtful_ || (heard_since && bind.stopping && bind.doubt.value == term_);
   for (const auto& [member, leftover] : machine.leftovers)
     doubtful_ = doubtful_ || (heard_since && leftover.doubt.value == term_);
-  if (machine.surplus && machine.binds.empty() && now - machine.first_seen >= kLeastChargeS)
-    return release(machine, "surplus");
   if (machine.draining && machine.binds.empty() && machine.confirmed)
     return release(machine, machine.drain_reason);
   if (machine.warned_until && now > *machine.warned_until) return release(machine, "its notice has run out");
@@ -516,7 +390,7 @@
   // One that this reign never heard holds up others' tasks: it is waited for less long.
   const bool given_up =
       machine.probes_unanswered >= kProbesUnanswered &&
-      (machine.confirmed ? silence > silent : now - reign_since_ > kAskedAgain * settings_.pace_s);
+      (machine.confirmed ? silence > silent_after : now - reign_since_ > kAskedAgain * settings_.pace_s);
   if (!machine.confirmed && machine.probes_unanswered > 0 && now - machine.last_probe > settings_.pace_s)
     send_direct(machine, {});
   if (!given_up) return;
@@ -559,7 +433,6 @@
 void Leader::gone(const wire::HostId& host) {
   const double now = loop().now();
   to_release_.erase(host);
-  surplus_.erase(host);
   for (; !gone_order_.empty() && now - gone_order_.front().first > kGoneKeptS; gone_order_.pop_front())
     gone_.erase(gone_order_.front().second);
   if (gone_.emplace(host, now).second) gone_order_.emplace_back(now, host);
--- a/src/leader/leader.cpp
+++ b/src/leader/leader.cpp
@@ -133,8 +133,6 @@
   buckets_.clear();
   open_buckets_.clear();
   to_release_.clear();
-  surplus_.clear();
-  wanted_steady_.clear();
   service_cores_ = 0;
   to_ask_.clear();
   awaiting_.clear();
@@ -242,15 +240,14 @@
   if (!known) {
     job.spec = std::move(record.spec);
     if (job.live()) live_.emplace(id, &job);
-    // Jobs that are over count too: a new leader knows from the first how much comes.
-    Arrival arrival;
-    const double cores = job.spec.need.cores * job.spec.members;
-    (job.service() ? arrival.service_cores : arrival.core_s) = job.service() ? cores : cores * task_s(job);
-    arrivals_.emplace(job.accepted_at, arrival);
-    arrived_.core_s += arrival.core_s;
-    arrived_.service_cores += arrival.service_cores;
-    if (!flavors_.empty()) arrival_rate();  // drops what is too old to count
-    if (job.service()) largest_service_ = std::max(largest_service_, job.spec.need.cores);
+    // Services that are over count too: a new leader knows from the first how many come.
+    if (job.service()) {
+      const double cores = job.spec.need.cores * job.spec.members;
+      arrivals_.emplace(job.accepted_at, cores);
+      arrived_ += cores;
+      largest_service_ = std::max(largest_service_, job.spec.need.cores);
+      if (!flavors_.empty()) service_rate();  // drops what is too old to count
+    }
     if (reigning_ && job.live()) {
       lead_job(job);
       place_soon();
--- a/src/leader/leader.hpp
+++ b/src/leader/leader.hpp
@@ -126,10 +126,6 @@
     double until = 0;
     double pause = 0;
   };
-  struct Arrival {             // a job accepted lately
-    double core_s = 0;         // of a batch
-    double service_cores = 0;  // of a service
-  };
   struct Reclaims {
     double count = 0;
     double machine_s = 0;
@@ -217,12 +213,8 @@
   void plan_soon();
   void plan_fleet();
   std::vector<planner::Work> current_work(bool& waiting);
-  void shape(std::vector<planner::Work>& work, double remaining_core_s);
-  Arrival arrival_rate();
+  double service_rate();
   double service_reserve();
-  void retire_surplus(double cores);
-  double recall_surplus(double cores);
-  void move_services();
   double longest_boot_s() const;
   void top_up(const planner::Plan& plan, const std::vector<planner::Offer>& offers, bool waiting);
   double rent(const planner::Offer& offer, bool reclaimable, double count);
@@ -248,8 +240,8 @@
   std::map<wire::JobId, model::Job*> live_;
   std::map<wire::JobId, model::Job*> ready_;  // live with tasks to place
   std::deque<wire::JobId> final_order_;
-  std::multimap<double, Arrival> arrivals_;  // by time of day
-  Arrival arrived_;                          // their sum
+  std::multimap<double, double> arrivals_;  // cores of services accepted lately, by time of day
+  double arrived_ = 0;                      // their sum
   std::vector<wire::Flavor> flavors_;
   std::uint64_t hold_ = 0;
   double valid_until_ = 0;
@@ -270,8 +262,6 @@
   std::map<wire::HostId, double> gone_;
   std::deque<std::pair<double, wire::HostId>> gone_order_;
   std::set<wire::HostId> to_release_;
-  std::set<wire::HostId> surplus_;
-  std::deque<std::pair<double, double>> wanted_steady_;  // cores by time, falling
   double reserve_cores_ = 0;    // of steady machines: kept free of batches for services to come
   double largest_service_ = 0;  // cores of one task
   double service_cores_ = 0;    // that services use
--- a/src/model/fleet.cpp
+++ b/src/model/fleet.cpp
@@ -20,14 +20,13 @@
   from.unconfirmed -= what.unconfirmed;
   from.unconfirmed_size -= what.unconfirmed_size;
   from.cores -= what.cores;
-  from.coming_cores -= what.coming_cores;
   from.free_cores -= what.free_cores;
   if (from.unconfirmed == 0) from.unconfirmed_size = {};
 }
 
 Sums part_of(const Machine& machine) {
   Sums part;
-  const bool stays = !machine.draining && !machine.releasing && !machine.surplus;
+  const bool stays = !machine.draining && !machine.releasing;
   part.up = machine.up ? 1 : 0;
   part.quiet = machine.up && machine.quiet ? 1 : 0;
   part.coming = !machine.up && !machine.late && stays ? 1 : 0;
@@ -36,7 +35,6 @@
     part.unconfirmed_size = machine.size;
   }
   part.cores = stays && (machine.up || !machine.late) ? machine.size.cores : 0;
-  part.coming_cores = part.coming > 0 ? machine.size.cores : 0;
   part.free_cores = machine.takes_tasks() && !machine.quiet ? machine.room().cores : 0;
   return part;
 }
@@ -49,7 +47,6 @@
   unconfirmed += other.unconfirmed;
   unconfirmed_size += other.unconfirmed_size;
   cores += other.cores;
-  coming_cores += other.coming_cores;
   free_cores += other.free_cores;
   return *this;
 }
--- a/src/model/machine.hpp
+++ b/src/model/machine.hpp
@@ -53,9 +53,8 @@
   std::size_t coming = 0;       // rented, not up yet, and still expected
   std::size_t unconfirmed = 0;  // inherited from an earlier leader, not heard in this reign
   wire::Amounts unconfirmed_size;
-  double cores = 0;         // of machines that are up or coming and stay
-  double coming_cores = 0;  // the part of them that is not up yet
-  double free_cores = 0;    // of machines that take tasks now
+  double cores = 0;       // of machines that are up or coming and stay
+  double free_cores = 0;  // of machines that take tasks now
 
   Sums& operator+=(const Sums& other);
 };
@@ -86,9 +85,8 @@
   bool draining = false;   // takes no more tasks
   bool releasing = false;
   bool release_sent = false;
-  bool late = false;     // booting for so long that it is no longer counted on
-  bool surplus = false;  // more than the plan wants: takes no more tasks, unless the plan wants it again
-  bool quiet = false;    // not heard for longer than reports take
+  bool late = false;   // booting for so long that it is no longer counted on
+  bool quiet = false;  // not heard for longer than reports take
   std::string drain_reason;
   std::string group;  // where its record is kept
 
@@ -120,9 +118,7 @@
     free -= used;
     return free;
   }
-  bool takes_tasks() const {
-    return up && recorded && confirmed && !lost && !draining && !releasing && !surplus;
-  }
+  bool takes_tasks() const { return up && recorded && confirmed && !lost && !draining && !releasing; }
 };
 
 }  // namespace bankhill::model
