--- a/src/app/node.cpp
+++ b/src/app/node.cpp
@@ -16,6 +16,7 @@
   result.cancel_s = settings.cancel_s;
   result.list_lag_s = settings.list_lag_s;
   result.controllers = settings.controllers;
+  result.main_zone = settings.main_zone;
   result.txn_ops = settings.state_txn_ops;
   result.value_kb = settings.state_value_kb;
   result.final_states_kept = settings.own.final_states_kept;
--- a/src/app/settings.cpp
+++ b/src/app/settings.cpp
@@ -51,6 +51,20 @@
   return wire::absent(object, name) ? 0 : wire::amount_field(object, name);
 }
 
+std::string main_zone(const Settings& settings) {
+  std::map<std::string, std::size_t> count{{settings.zone, 1}};
+  for (const auto& sibling : settings.siblings) ++count[sibling.zone];
+  std::string best;
+  std::size_t most = 0;
+  for (const auto& [zone, controllers] : count) {
+    if (controllers == most) best.clear();
+    if (controllers <= most) continue;
+    best = zone;
+    most = controllers;
+  }
+  return best;
+}
+
 Settings parse(const Json& root) {
   Settings settings;
   settings.host_name = wire::text_field(root, "host_name");
@@ -58,8 +72,11 @@
   settings.api_addr = address(root, "api_addr");
   settings.peer_listen = address(root, "peer_listen");
   for (const auto& item : list(root, "siblings"))
-    settings.siblings.push_back({wire::text_field(item, "host_name"), address(item, "addr")});
+    settings.siblings.push_back({wire::text_field(item, "host_name"),
+                                 wire::absent(item, "zone") ? "" : wire::text_field(item, "zone"),
+                                 address(item, "addr")});
   settings.controllers = settings.siblings.size() + 1;
+  settings.main_zone = main_zone(settings);
   const auto& external = section(root, "external");
   settings.cloud = address(external, "cloud");
   settings.state = address(external, "state");
--- a/src/app/settings.hpp
+++ b/src/app/settings.hpp
@@ -23,6 +23,7 @@
 
 struct SiblingSettings {
   std::string host_name;
+  std::string zone;
   std::string addr;
 };
 
@@ -47,6 +48,7 @@
   // Class -> times in which its jobs should be done, rising.
   std::map<std::string, std::vector<double>> within_s;
   std::size_t controllers = 1;
+  std::string main_zone;  // that has more controllers than any other; empty if none has
   // Class -> multiples of their deadlines by which its jobs should be done, rising.
   std::map<std::string, std::vector<double>> deadline_times;
   double report_s = 0;
--- a/src/leader/leader.cpp
+++ b/src/leader/leader.cpp
@@ -16,9 +16,9 @@
 constexpr double kWatchS = 1.0;  // in which the watch goes round the fleet once
 constexpr double kSettleS = 1.0;
 constexpr double kCatalogueRounds = 4;  // the catalogue is read again every so many rounds
-constexpr std::size_t kSample = 24;     // machines asked to see how far the leader reaches
+constexpr std::size_t kSample = 48;     // machines asked to see how far the leader reaches
 constexpr std::size_t kSampleLeast = 4;
-constexpr double kSampleFailed = 0.6;   // of them unanswered: another controller will do better
+constexpr double kSampleFailed = 0.5;   // of them unanswered: another controller will do better
 constexpr std::size_t kSuspect = 3;     // direct requests unanswered within a pace
 constexpr std::size_t kAskAtOnce = 64;  // machines asked directly at the same time when a reign begins
 
--- a/src/leader/leader.hpp
+++ b/src/leader/leader.hpp
@@ -37,6 +37,7 @@
   double cancel_s = 60;
   double list_lag_s = 5;
   std::size_t controllers = 1;
+  std::string main_zone;  // that has the most controllers; empty if no zone has
   std::size_t txn_ops = 16;
   double value_kb = 8;
   std::size_t final_states_kept = 20000;
--- a/src/leader/placement.cpp
+++ b/src/leader/placement.cpp
@@ -131,6 +131,13 @@
         const auto* type = flavor(pool.flavor);
         return type == nullptr || type->pull_gb_per_s <= 0 ? 0.0 : job.spec.size_gb / type->pull_gb_per_s;
       },
+      // When zones are apart, the leader is where most controllers are: services
+      // elsewhere would end with their machines' leases.
+      [&](const Pool& pool) {
+        const bool aside =
+            job.service() && !settings_.main_zone.empty() && pool.rack_room != settings_.main_zone;
+        return aside ? settings_.pace_s : 0.0;
+      },
       [&](const Machine& machine) {
         return !job.failed_on.contains(machine.host) && !crowded(machine, job) &&
                zone_allows(job, machine.rack_room) && !machine.leftovers.contains({job.spec.uid, job.cursor});
--- a/src/model/fleet.cpp
+++ b/src/model/fleet.cpp
@@ -182,8 +182,8 @@
     ++steps_;
     if (pool.reclaimable != choice.reclaimable || !allows(choice.spec, pool)) continue;
     if (const auto image = state.with_image.find(choice.spec.bundle); image != state.with_image.end())
-      look(image->second, 0, state.size.cores);
-    look(state.open, choice.fetch_s(pool), state.size.cores);
+      look(image->second, choice.aside_s(pool), state.size.cores);
+    look(state.open, choice.fetch_s(pool) + choice.aside_s(pool), state.size.cores);
   }
   return best;
 }
--- a/src/model/fleet.hpp
+++ b/src/model/fleet.hpp
@@ -71,6 +71,7 @@
     bool reclaimable = false;
     bool small_first = false;  // of equals, the smaller machine
     std::function<double(const Pool&)> fetch_s;
+    std::function<double(const Pool&)> aside_s;  // seconds that being in another pool is worth
     std::function<bool(const Machine&)> suits;
     bool passed = false;
   };
--- a/tests/fleet_test.cpp
+++ b/tests/fleet_test.cpp
@@ -18,7 +18,12 @@
 }
 
 Fleet::Choice choice(const wire::JobSpec& job, bool reclaimable) {
-  return {job,  reclaimable, false, [](const Pool&) { return 2.0; }, [](const Machine&) { return true; },
+  return {job,
+          reclaimable,
+          false,
+          [](const Pool&) { return 2.0; },
+          [](const Pool&) { return 0.0; },
+          [](const Machine&) { return true; },
           false};
 }
 
