--- a/src/leader/fleet.cpp
+++ b/src/leader/fleet.cpp
@@ -124,7 +124,8 @@
 double Leader::service_reserve() {
   const double rate = service_rate();
   if (rate <= 0 || largest_service_ <= 0) return 0;
-  return largest_service_ * std::ceil(rate * kReservePaces * settings_.pace_s / largest_service_ - kRounding);
+  return largest_service_ *
+         std::floor(rate * kReservePaces * settings_.pace_s / largest_service_ + kRounding);
 }
 
 void Leader::plan_fleet() {
