--- a/src/cloud/cloud.cpp
+++ b/src/cloud/cloud.cpp
@@ -11,7 +11,6 @@
 namespace {
 // No answer for this long: unanswered. Rentals and releases are safe to repeat.
 constexpr double kAnswerS = 3.0;
-constexpr std::size_t kPage = 500;
 // Lists and the catalogue leave this part of a second's requests to rentals and releases.
 constexpr double kReserve = 0.5;
 }  // namespace
--- a/src/cloud/cloud.hpp
+++ b/src/cloud/cloud.hpp
@@ -22,6 +22,7 @@
 
 constexpr std::size_t kMaxRelease = 100;
 constexpr std::uint32_t kMaxRental = 50;
+constexpr std::size_t kPage = 500;  // hosts of one page of the list
 
 // Messages.
 struct GetCatalogue {
--- a/src/leader/fleet.cpp
+++ b/src/leader/fleet.cpp
@@ -31,7 +31,6 @@
 constexpr double kStockoutPause = 0.5;  // in rounds, doubled up to the next
 constexpr double kStockoutMost = 4;
 constexpr int kRentalsAtOnce = 8;
-constexpr std::size_t kListPage = 500;  // the protocol
 constexpr double kDriftAllowance = 1.002;
 constexpr double kAllowanceS = 1;
 constexpr double kLeastChargeS = 60;  // the protocol: a machine that is deleted costs at least this
@@ -454,7 +453,7 @@
 
 void Leader::list_hosts() {
   // A page costs a request: a large fleet is listed less often.
-  const double pages = 1 + std::floor(static_cast<double>(fleet_.size()) / kListPage);
+  const double pages = 1 + std::floor(static_cast<double>(fleet_.size()) / cloud::kPage);
   next_list_ = loop().now() + std::max(settings_.list_lag_s, settings_.pace_s) * pages;
   if (std::exchange(listing_, true)) return;
   ports_.cloud.tell(
--- a/src/leader/intents.cpp
+++ b/src/leader/intents.cpp
@@ -39,57 +39,49 @@
   return 0;
 }
 
-void Leader::want(const std::string& key, Intent&& intent, Patience patience, Then then) {
+void Leader::store(const std::string& key, std::optional<Json> data, Patience patience, Then then) {
   const double due = loop().now() + patience_s(patience);
   auto [entry, added] = intents_.try_emplace(key);
   auto& wanted = entry->second;
   if (!added) due_.erase({wanted.due, key});
   wanted.due = added ? due : std::min(wanted.due, due);
   due_.emplace(wanted.due, key);
-  wanted.data = std::move(intent.data);
+  wanted.data = std::move(data);
   if (then) wanted.then.push_back(std::move(then));
   flush_soon();
 }
 
-void Leader::store(const std::string& key, std::optional<Json> data, Patience patience, Then then) {
-  want(key, Intent{std::move(data), {}, 0}, patience, std::move(then));
-}
-
 void Leader::store_group(const std::string& group, Patience patience, Then then) {
-  want(wire::machines_key(group), {}, patience, std::move(then));
+  store(wire::machines_key(group), std::nullopt, patience, std::move(then));
 }
 
 void Leader::store_bucket(std::uint64_t bucket, Patience patience, Then then) {
-  want(wire::finished_key(bucket), {}, patience, std::move(then));
+  store(wire::finished_key(bucket), std::nullopt, patience, std::move(then));
 }
 
-// Puts the present value of a group or bucket into its intent. False: this key is neither.
-bool Leader::render(const std::string& key, Intent& intent) const {
+// Puts the present value of a group or bucket into its intent.
+void Leader::render(const std::string& key, Intent& intent) const {
   if (key.starts_with(wire::kMachines)) {
     intent.data.reset();
     const auto group = groups_.find(key.substr(wire::kMachines.size()));
-    if (group == groups_.end()) return true;
+    if (group == groups_.end()) return;
     wire::MachineGroupRecord record{
         group->second.pool.flavor, group->second.pool.rack_room, group->second.pool.reclaimable, {}};
     for (const auto& host : group->second.hosts)
       if (const auto* machine = fleet_.peek(host)) record.hosts.emplace(host, machine->address);
     if (!record.hosts.empty()) intent.data = to_json(record);
-    return true;
-  }
-  if (key.starts_with(wire::kFinished)) {
+  } else if (key.starts_with(wire::kFinished)) {
     const auto name = key.substr(wire::kFinished.size());
-    if (name.find('/') != std::string::npos) return true;  // of version 0.1: only ever deleted
+    if (name.find('/') != std::string::npos) return;  // of version 0.1: only ever deleted
     intent.data.reset();
     const auto bucket = buckets_.find(std::stoull(name));
-    if (bucket == buckets_.end()) return true;
+    if (bucket == buckets_.end()) return;
     wire::FinishedBucket record;
     for (const auto& id : bucket->second.chunks)
       if (const auto job = jobs_.find(id.job); job != jobs_.end() && job->second.live())
         record.emplace(id, wire::finished_hex(job->second.marks, id.chunk, model::kDone));
     if (!record.empty()) intent.data = to_json(record);
-    return true;
   }
-  return false;
 }
 
 void Leader::flush_soon() {
--- a/src/leader/leader.hpp
+++ b/src/leader/leader.hpp
@@ -161,9 +161,8 @@
   // Groups and buckets are rendered when they are written.
   void store_group(const std::string& group, Patience patience, Then then = {});
   void store_bucket(std::uint64_t bucket, Patience patience, Then then = {});
-  void want(const std::string& key, Intent&& intent, Patience patience, Then then);
   double patience_s(Patience patience) const;
-  bool render(const std::string& key, Intent& intent) const;
+  void render(const std::string& key, Intent& intent) const;
   void flush_soon();
   void flush();
   void committed(Batch batch, wire::Epoch epoch);
