planner, leader: reclaims are forgotten after some rounds; one burst doubles a stock-out pause once

Ruled out: capacity, the teams' limits. Now what phi rules out goes to other types, or to steady machines while work waits; reclaims fade over four rounds.

--- a/src/leader/fleet.cpp
+++ b/src/leader/fleet.cpp
@@ -30,6 +30,7 @@
 constexpr double kBootNever = 5;        // given up
 constexpr double kStockoutPause = 0.5;  // in rounds, doubled up to the next
 constexpr double kStockoutMost = 4;
+constexpr double kReclaimMemory = 4;  // rounds after which a reclaim counts a third: a wave passes
 constexpr int kRentalsAtOnce = 8;
 constexpr double kDriftAllowance = 1.002;
 constexpr double kAllowanceS = 1;
@@ -48,6 +49,18 @@
                              }));
 }
 
+// Reclaims are forgotten after some rounds. Counted for good, one wave kept every spot type above phi for the
+// rest of the reign: alpha's budget stayed unspent and work waited (days/ops-boots-slow).
+void Leader::age_reclaims(double passed) {
+  const double kept = std::exp(-passed / (kReclaimMemory * settings_.round_s));
+  for (const auto& [pool, state] : fleet_.pools())
+    if (pool.reclaimable) reclaims_[pool.flavor].machine_s += passed * static_cast<double>(state.sums.up);
+  for (auto& [flavor, reclaims] : reclaims_) {
+    reclaims.count *= kept;
+    reclaims.machine_s *= kept;
+  }
+}
+
 bool Leader::reclaim_share_allows(const std::string& flavor) const {
   const auto found = reclaims_.find(flavor);
   if (found == reclaims_.end() || found->second.machine_s < kMinReclaimHistory) return true;
@@ -143,7 +156,7 @@
   double wanted[2] = {0, 0};
   for (std::size_t i = 0; i < offers.size(); ++i) {
     wanted[0] += plan.steady[i] * offers[i].flavor.size.cores;
-    wanted[1] += plan.spot[i] * offers[i].flavor.size.cores;
+    wanted[1] += (plan.spot[i] + plan.avoided[i]) * offers[i].flavor.size.cores;
   }
   double there[2] = {0, 0};
   for (const auto& [pool, state] : fleet_.pools()) there[pool.reclaimable ? 1 : 0] += state.sums.cores;
@@ -151,6 +164,8 @@
     if (const auto* type = flavor(rental.record.flavor); type != nullptr && !rental.record.hosts)
       there[rental.record.reclaimable ? 1 : 0] += type->size.cores * rental.record.count;
   double missing[2] = {wanted[0] - there[0], wanted[1] - there[1]};
+  log_->debug("plan: {:.0f} steady and {:.0f} spot cores wanted, {:.0f} and {:.0f} there or coming{}", wanted[0],
+              wanted[1], there[0], there[1], waiting ? ", work waits" : "");
   // Whatever covers what is missing at the least cost: a machine much larger than that would stand idle for
   // the most part. What a type cannot give is asked of the next.
   for (const bool spot : {true, false}) {
@@ -268,8 +283,12 @@
   const Pool pool{rental.record.flavor, rental.record.rack_room, rental.record.reclaimable};
   if (result.kind == cloud::Rented::Kind::no_capacity || result.hosts.size() < rental.record.count) {
     auto& out = stockouts_[pool];
-    out.pause = std::min(std::max(kStockoutPause, out.pause * 2), kStockoutMost);
-    out.until = loop().now() + out.pause * settings_.round_s;
+    // Once for the answers of one burst: doubled by each, the pause was four rounds at once, and rooms that
+    // came free meanwhile were not rented while hundreds of jobs waited (inc-8bf1).
+    if (loop().now() >= out.until) {
+      out.pause = std::min(std::max(kStockoutPause, out.pause * 2), kStockoutMost);
+      out.until = loop().now() + out.pause * settings_.round_s;
+    }
     log_->info("rental {}: {} of {} to be had", name, result.hosts.size(), rental.record.count);
     plan_soon();
   } else {
--- a/src/leader/leader.cpp
+++ b/src/leader/leader.cpp
@@ -322,8 +322,7 @@
     resync();
   }
   if (!valid()) return;
-  for (const auto& [pool, state] : fleet_.pools())
-    if (pool.reclaimable) reclaims_[pool.flavor].machine_s += passed * static_cast<double>(state.sums.up);
+  age_reclaims(passed);
   if (now >= next_catalogue_) fetch_catalogue();
   watch_machines(std::min(1.0, passed / kWatchS));
   if (now >= next_settle_) {
@@ -384,9 +383,14 @@
     text += (text.empty() ? "" : ", ") + std::to_string(count) + " " + what;
   tally_.clear();
   const auto& total = fleet_.total();
+  model::Sums steady;
+  model::Sums spot;
+  for (const auto& [pool, state] : fleet_.pools()) (pool.reclaimable ? spot : steady) += state.sums;
   log_->info(
-      "leader: {}; {} machines up, {} coming, {} unconfirmed, {} live jobs, {} waiting, {} writes waiting",
-      text, total.up, total.coming, total.unconfirmed, live_.size(), ready_.size(), intents_.size());
+      "leader: {}; {} machines up, {} coming, {} unconfirmed, {:.0f} of {:.0f} steady and {:.0f} of {:.0f} "
+      "spot cores free, {} live jobs, {} waiting, {} writes waiting",
+      text, total.up, total.coming, total.unconfirmed, steady.free_cores, steady.cores, spot.free_cores,
+      spot.cores, live_.size(), ready_.size(), intents_.size());
 }
 
 void Leader::fetch_catalogue() {
--- a/src/leader/leader.hpp
+++ b/src/leader/leader.hpp
@@ -231,6 +231,7 @@
   bool return_idle(model::Machine& machine);
   double idle_limit(const model::Machine& machine) const;
   bool reclaim_share_allows(const std::string& flavor) const;
+  void age_reclaims(double passed);
 
   runtime::Log log_;
   Settings settings_;
--- a/src/planner/planner.cpp
+++ b/src/planner/planner.cpp
@@ -97,10 +97,13 @@
   for (std::size_t i = 0; i < offers.size(); ++i) {
     // Work that may not run on spot machines cannot be split by alpha.
     result.steady[i] = std::max(result.steady[i], std::ceil(steady_only[i] - kRounding));
-    if (offers[i].spot_allowed) rest[i] = std::max(0.0, c[i] - result.steady[i]);
+    rest[i] = std::max(0.0, c[i] - result.steady[i]);
   }
   const double cheap = cost(rest, offers, true);
   result.spot = scale(rest, cheap > 0 ? result.budget * alpha / cheap : 1);
+  result.avoided.assign(offers.size(), 0);
+  for (std::size_t i = 0; i < offers.size(); ++i)
+    if (!offers[i].spot_allowed) std::swap(result.spot[i], result.avoided[i]);
   return result;
 }
 
--- a/src/planner/planner.hpp
+++ b/src/planner/planner.hpp
@@ -33,6 +33,7 @@
 struct Plan {
   std::vector<double> steady;  // machines of each offer
   std::vector<double> spot;
+  std::vector<double> avoided;  // spot counts that alpha buys of types above phi: for other types to take
   double budget = 0;  // per hour
 };
 
--- a/tests/planner_test.cpp
+++ b/tests/planner_test.cpp
@@ -58,6 +58,18 @@
   }
 }
 
+// What alpha would buy of a type above phi is told, so that other types, or steady machines, take its place.
+TEST(Plan, WhatPhiRulesOutIsNotForgotten) {
+  const auto item = work(4, 100, 60, true);
+  const auto free = plan({item}, {offer("m", 8, 0.4, 0.1)}, 0.5);
+  const auto barred = plan({item}, {offer("m", 8, 0.4, 0.1, false)}, 0.5);
+  EXPECT_GT(free.spot[0], 0);
+  EXPECT_EQ(free.avoided[0], 0);
+  EXPECT_EQ(barred.spot[0], 0);
+  EXPECT_EQ(barred.avoided[0], free.spot[0]);
+  EXPECT_EQ(barred.steady[0], free.steady[0]);
+}
+
 TEST(Plan, SpotStaysWithinItsPartOfTheBudget) {
   const std::vector<Offer> offers = {offer("m", 8, 0.4, 0.1), offer("l", 64, 3.2, 0.9)};
   std::mt19937 random(4);
