--- a/src/leader/fleet.cpp
+++ b/src/leader/fleet.cpp
@@ -26,8 +26,13 @@
 constexpr double kReservePaces = 2;  // services that come within this find room
 constexpr double kPlanGap = 0.3;     // between two plans made on events
 // Ratios to a type's usual boot time.
-constexpr double kBootLate = 2;         // no longer counted as coming
+constexpr double kBootLate = 1.6;       // no longer counted as coming: the protocol's usual boot takes up to 1.5
 constexpr double kBootNever = 5;        // given up
+// Boots count as bad from this share of late ones on and as well from half of it down, of at least so many,
+// and a boot counts a third after so many rounds.
+constexpr double kBootsBad = 0.3;
+constexpr double kBootsKnown = 5;
+constexpr double kBootMemory = 4;
 constexpr double kStockoutPause = 0.5;  // in rounds, doubled up to the next
 constexpr double kStockoutMost = 4;
 constexpr double kReclaimMemory = 4;  // rounds after which a reclaim counts a third: a wave passes
@@ -352,19 +357,42 @@
   }
 }
 
-void Leader::watch(Machine& machine) {
+double Leader::boot_s(const Machine& machine) const {
+  const auto* type = flavor(machine.flavor);
+  return type == nullptr ? kLeastChargeS : type->boot_s;
+}
+
+// Counts a boot as in time or late, and tells the operators when boots in general become bad or well again.
+void Leader::note_boot(bool in_time) {
   const double now = loop().now();
-  if (!machine.up) {
-    const auto* type = flavor(machine.flavor);
-    const double boot = type == nullptr ? kLeastChargeS : type->boot_s;
-    const double booting = now - machine.first_seen;
-    if (!machine.late && booting > kBootLate * boot) {
-      machine.late = true;
-      fleet_.refresh(machine);
-    }
-    if (booting > kBootNever * boot) release(machine, "never came up");
-    return;
+  const double kept = std::exp(-(now - std::exchange(boots_.at, now)) / (kBootMemory * settings_.round_s));
+  boots_.in_time = boots_.in_time * kept + (in_time ? 1 : 0);
+  boots_.late = boots_.late * kept + (in_time ? 0 : 1);
+  const double known = boots_.in_time + boots_.late;
+  if (known < kBootsKnown) return;
+  const double share = boots_.late / known;
+  const bool bad = share > (boots_.bad ? kBootsBad / 2 : kBootsBad);
+  if (bad == std::exchange(boots_.bad, bad)) return;
+  if (bad)
+    log_->warn("boots: {:.0f} % of the last {:.0f} machines are late; others are rented in their place", 100 * share, known);
+  else
+    log_->info("boots: as usual again, {:.0f} % of the last {:.0f} machines are late", 100 * share, known);
+}
+
+void Leader::watch_boot(Machine& machine) {
+  const double boot = boot_s(machine);
+  const double booting = loop().now() - machine.first_seen;
+  if (booting > kBootLate * boot && !std::exchange(machine.late, true)) {
+    note_boot(false);
+    fleet_.refresh(machine);
+    plan_soon();
   }
+  if (booting > kBootNever * boot) release(machine, "never came up");
+}
+
+void Leader::watch(Machine& machine) {
+  const double now = loop().now();
+  if (!machine.up) return watch_boot(machine);
   const double latest = kLatestReport * settings_.report_s;
   const double probe = latest + kProbeAfter * settings_.pace_s;
   const double silent = latest + kSilentAfter * settings_.pace_s;
--- a/src/leader/leader.hpp
+++ b/src/leader/leader.hpp
@@ -128,6 +128,12 @@
     double until = 0;
     double pause = 0;
   };
+  struct Boots {  // of late
+    double in_time = 0;
+    double late = 0;
+    double at = 0;  // steady clock: when these were counted
+    bool bad = false;
+  };
   struct Reclaims {
     double count = 0;
     double machine_s = 0;
@@ -224,6 +230,9 @@
   void settle_rentals();
   void watch_machines(double share);
   void watch(model::Machine& machine);
+  void watch_boot(model::Machine& machine);
+  void note_boot(bool in_time);
+  double boot_s(const model::Machine& machine) const;
   void release(model::Machine& machine, const std::string& reason);
   void send_releases();
   void gone(const wire::HostId& host);
@@ -286,6 +295,7 @@
   std::map<std::string, std::uint64_t> tally_;  // of what happened since the last summary in the log
   std::map<Pool, Stockout> stockouts_;
   std::map<std::string, Reclaims> reclaims_;
+  Boots boots_;
   Batch intents_;
   std::set<std::pair<double, std::string>> due_;  // the keys of intents_ by when they are due
   bool committing_ = false;
--- a/src/leader/reports.cpp
+++ b/src/leader/reports.cpp
@@ -77,6 +77,7 @@
     machine.reclaimable = report.reclaimable;
     machine.idle_since = loop().now();
     set_size(machine);
+    if (!added && !machine.late) note_boot(true);
     ++tally_["machines came up"];
     log_->debug("machine {}: up ({} in {}{})", machine.host.value, machine.flavor, machine.rack_room,
                 machine.reclaimable ? ", spot" : "");
