--- a/src/leader/fleet.cpp
+++ b/src/leader/fleet.cpp
@@ -27,7 +27,7 @@
 constexpr double kPlanGap = 0.3;     // between two plans made on events
 // Ratios to a type's usual boot time.
 constexpr double kBootLate = 1.6;       // no longer counted as coming: the protocol's usual boot takes up to 1.5
-constexpr double kBootNever = 5;        // given up
+constexpr double kBootNever = 3;        // given up
 // Boots count as bad from this share of late ones on and as well from half of it down, of at least so many,
 // and a boot counts a third after so many rounds.
 constexpr double kBootsBad = 0.3;
