leader: steady machines beyond the plan are returned; a pool that had nothing is asked once

Those without services now take no more batches once above the plan and go when empty; wanted again, they are there at once.

--- a/src/leader/fleet.cpp
+++ b/src/leader/fleet.cpp
@@ -37,6 +37,8 @@
 constexpr double kStockoutMost = 4;
 constexpr double kReclaimMemory = 4;  // rounds after which a reclaim counts a third: a wave passes
 constexpr int kRentalsAtOnce = 8;
+constexpr double kSpareMargin = 0.1;  // of the steady cores: what the plan's counts vary by
+const std::string kSurplus = "more than planned";
 constexpr double kDriftAllowance = 1.002;
 constexpr double kAllowanceS = 1;
 constexpr double kLeastChargeS = 60;  // the protocol: a machine that is deleted costs at least this
@@ -193,7 +195,9 @@
     // Exception to the design (its first doubt): alpha's budget that no spot type can take must not stay
     // unspent while work waits.
     if (spot && lack > 0 && waiting) missing[0] += lack;
+    if (spot) recall_surplus(missing[0]);
   }
+  spare_steady(missing[0]);
   // Ready work that no machine can take earns its type at least one machine.
   std::vector<bool> earned(offers.size(), false);
   for (const auto& [id, pointer] : ready_) {
@@ -228,6 +232,43 @@
   }
 }
 
+// Steady machines beyond the plan's count take no more batches and are returned once empty: "steady first" keeps
+// them busy for ever, at four times the price, while spot machines paid for stand idle. What spot machines
+// lack is not spare, nor is a machine with services: those would have to move.
+void Leader::spare_steady(double missing) {
+  double steady = 0;
+  for (const auto& [pool, state] : fleet_.pools())
+    if (!pool.reclaimable) steady += state.sums.cores;
+  spare_cores_ = std::max(0.0, -missing - kSpareMargin * steady);
+}
+
+// Machines on their way out are wanted again: they are there at once.
+void Leader::recall_surplus(double& missing) {
+  while (missing > kRounding && !surplus_.empty()) {
+    auto* machine = fleet_.find(*surplus_.begin());
+    surplus_.erase(surplus_.begin());
+    if (machine == nullptr || machine->releasing || machine->drain_reason != kSurplus) continue;
+    machine->draining = false;
+    machine->drain_reason.clear();
+    machine->idle_since = loop().now();
+    fleet_.refresh(*machine);
+    missing -= machine->size.cores;
+    ++tally_["surplus machines wanted again"];
+    place_soon();
+  }
+}
+
+void Leader::spare(Machine& machine) {
+  if (machine.reclaimable || machine.size.cores > spare_cores_ || machine.service_cores > 0) return;
+  if (!machine.takes_tasks() || loop().now() - machine.first_seen < kLeastChargeS) return;
+  spare_cores_ -= machine.size.cores;
+  machine.draining = true;
+  machine.drain_reason = kSurplus;
+  surplus_.insert(machine.host);
+  fleet_.refresh(machine);
+  ++tally_["machines surplus"];
+}
+
 double Leader::rent(const planner::Offer& offer, bool reclaimable, double count) {
   const double now = loop().now();
   std::vector<std::string> zones;
@@ -245,8 +286,10 @@
   for (std::size_t i = 0; i < zones.size(); ++i) {
     double share = std::ceil((count - asked) / static_cast<double>(zones.size() - i));
     // The cloud gives so many a request, and so many requests at a time are enough to see whether it has
-    // them.
-    for (int request = 0; request < kRentalsAtOnce && share >= 1; ++request) {
+    // them. One that had none is asked once, to see whether it has some again: eight refusals for each of its
+    // types used up the cloud's requests, and hid from the plan that others must be rented.
+    const bool doubtful = stockouts_.contains({offer.flavor.name, zones[i], reclaimable});
+    for (int request = 0; request < (doubtful ? 1 : kRentalsAtOnce) && share >= 1; ++request) {
       const std::string name = "r-" + std::to_string(first_term_) + "-" + std::to_string(++rentals_made_);
       auto& rental = rentals_[name];
       rental.record = {
@@ -430,6 +473,7 @@
     doubtful_ = doubtful_ || (heard_since && bind.stopping && bind.doubt.value == term_);
   for (const auto& [member, leftover] : machine.leftovers)
     doubtful_ = doubtful_ || (heard_since && leftover.doubt.value == term_);
+  spare(machine);
   if (machine.draining && machine.binds.empty() && machine.confirmed)
     return release(machine, machine.drain_reason);
   if (machine.warned_until && now > *machine.warned_until) return release(machine, "its notice has run out");
--- a/src/leader/leader.cpp
+++ b/src/leader/leader.cpp
@@ -133,6 +133,8 @@
   buckets_.clear();
   open_buckets_.clear();
   to_release_.clear();
+  surplus_.clear();
+  spare_cores_ = 0;
   service_cores_ = 0;
   to_ask_.clear();
   awaiting_.clear();
--- a/src/leader/leader.hpp
+++ b/src/leader/leader.hpp
@@ -225,6 +225,9 @@
   double longest_boot_s() const;
   void top_up(const planner::Plan& plan, const std::vector<planner::Offer>& offers, bool waiting);
   double rent(const planner::Offer& offer, bool reclaimable, double count);
+  void spare_steady(double missing);
+  void recall_surplus(double& missing);
+  void spare(model::Machine& machine);
   void ask(const std::string& name);
   void rented(const std::string& name, const cloud::Rented& result);
   void settle_rentals();
@@ -273,6 +276,8 @@
   std::map<wire::HostId, double> gone_;
   std::deque<std::pair<double, wire::HostId>> gone_order_;
   std::set<wire::HostId> to_release_;
+  std::set<wire::HostId> surplus_;  // steady machines that take no more batches
+  double spare_cores_ = 0;          // of steady machines beyond the plan
   double reserve_cores_ = 0;    // of steady machines: kept free of batches for services to come
   double largest_service_ = 0;  // cores of one task
   double service_cores_ = 0;    // that services use
