--- a/src/leader/fleet.cpp
+++ b/src/leader/fleet.cpp
@@ -37,7 +37,6 @@
 constexpr double kStockoutMost = 4;
 constexpr double kReclaimMemory = 4;  // rounds after which a reclaim counts a third: a wave passes
 constexpr int kRentalsAtOnce = 8;
-constexpr double kSpareMargin = 0.1;  // of the steady cores: what the plan's counts vary by
 const std::string kSurplus = "more than planned";
 constexpr double kDriftAllowance = 1.002;
 constexpr double kAllowanceS = 1;
@@ -233,13 +232,18 @@
 }
 
 // Steady machines beyond the plan's count take no more batches and are returned once empty: "steady first" keeps
-// them busy for ever, at four times the price, while spot machines paid for stand idle. What spot machines
-// lack is not spare, nor is a machine with services: those would have to move.
+// them busy for ever, at four times the price, while spot machines paid for stand idle. Only as many as idle
+// spot machines can stand in for: else their rooms stay empty while work waits. A machine with services stays.
 void Leader::spare_steady(double missing) {
-  double steady = 0;
+  double idle_spot = 0;
   for (const auto& [pool, state] : fleet_.pools())
-    if (!pool.reclaimable) steady += state.sums.cores;
-  spare_cores_ = std::max(0.0, -missing - kSpareMargin * steady);
+    if (pool.reclaimable) idle_spot += state.sums.free_cores;
+  for (auto host = surplus_.begin(); host != surplus_.end();) {
+    const auto* machine = fleet_.peek(*host);
+    if (machine != nullptr && !machine->releasing) idle_spot -= machine->size.cores;
+    host = machine == nullptr ? surplus_.erase(host) : std::next(host);
+  }
+  spare_cores_ = std::max(0.0, std::min(-missing, idle_spot));
 }
 
 // Machines on their way out are wanted again: they are there at once.
--- a/src/leader/leader.hpp
+++ b/src/leader/leader.hpp
@@ -50,7 +50,7 @@
   double alpha = 0.8;
   double phi = 0.1;
   double round_s = 15;
-  double idle_boots = 1;
+  double idle_boots = 2.5;
 };
 
 // Messages.
