--- a/src/leader/intents.cpp
+++ b/src/leader/intents.cpp
@@ -16,6 +16,7 @@
 constexpr std::size_t kBatchBytes = 48 * 1024;  // of the 64 KiB that a transaction may hold
 // Of the value limit, or of what a transaction holds if that is less: what one shared key may grow to.
 constexpr double kShareOfValue = 0.5;
+constexpr std::size_t kUrgentWrites = 4;  // with a rental, however little of the limit is left
 constexpr std::size_t kMostShared = 4096;
 
 std::size_t shared_bytes(double value_kb) {
@@ -101,8 +102,11 @@
     flush_timer_ = loop().after(wait, guard([this] { flush_soon(); }));
   };
   if (due_.begin()->first > now) return later(due_.begin()->first - now);
+  // A rental goes with the urgent ones: it waited ten seconds behind a site's first submissions, and every
+  // task of theirs waits for the machines (lakaskalk-ops, the first half minute).
+  const bool urgent = due_.begin()->second.starts_with(wire::kRentals);
   const auto allowed = static_cast<std::size_t>(std::max(0.0, ports_.store.writes_to_spare()));
-  const auto most = std::min(settings_.txn_ops, allowed);
+  const auto most = std::min(settings_.txn_ops, urgent ? std::max(kUrgentWrites, allowed) : allowed);
   if (most == 0) return later(settings_.pace_s / 30);
   state::Transaction transaction;
   // Invariant 1: once a newer term is won, this transaction fails however late it arrives.
@@ -151,7 +155,7 @@
                                                                   }),
                                                                   true});
                                   }),
-                                  false});
+                                  urgent});
 }
 
 void Leader::committed(Batch batch, wire::Epoch epoch) {
