--- a/tests/sim_test.cpp
+++ b/tests/sim_test.cpp
@@ -209,7 +209,8 @@
   const auto starts = world.starts();
   for (const auto* zone : {"workers-za", "workers-zb"})
     world.cut("node-" + std::to_string(leader), zone, 35, false);
-  for (const auto& host : before) world.cut("node-" + std::to_string(leader), host, 35, false);
+  for (const auto& [host, machine] : world.machines())  // idle ones too
+    world.cut("node-" + std::to_string(leader), host, 35, false);
   world.run(70);
   EXPECT_GE(world.leader(), 0);
   EXPECT_NE(world.leader(), leader) << "a leader that reaches no worker kept the leadership";
