--- a/tests/sim/world.cpp
+++ b/tests/sim/world.cpp
@@ -104,19 +104,25 @@
 double SimLoop::now() const { return world_.now() * drift_ + 1000; }
 double SimLoop::wall() const { return kWall + world_.now(); }
 void SimLoop::post(std::function<void()> work) {
-  world_.at(world_.now(), [alive = alive_, work = std::move(work)] {
-    if (*alive) work();
+  world_.at(world_.now(), [this, alive = alive_, work = std::move(work)] {
+    if (*alive)
+      world_.on_node(node_, [alive, work] {
+        if (*alive) work();
+      });
   });
 }
 runtime::Timer SimLoop::after(double seconds, std::function<void()> work) {
   auto armed = std::make_shared<std::function<void()>>(std::move(work));
   world_.at(world_.now() + std::max(0.0, seconds) / drift_,
-            [alive = alive_, weak = std::weak_ptr<std::function<void()>>(armed)] {
-              const auto held = weak.lock();
-              if (*alive && held) {
-                auto run = std::move(*held);
-                run();
-              }
+            [this, alive = alive_, weak = std::weak_ptr<std::function<void()>>(armed)] {
+              if (!*alive || weak.expired()) return;
+              world_.on_node(node_, [alive, weak] {
+                const auto held = weak.lock();
+                if (*alive && held) {
+                  auto run = std::move(*held);
+                  run();
+                }
+              });
             });
   return armed;
 }
@@ -128,10 +134,13 @@
   SimClient(World& world, int node, SimLoop& loop) : world_(world), node_(node), loop_(loop) {}
   void send(const std::string& address, Request request, double timeout_s, net::Reply reply) override {
     auto once = std::make_shared<net::Reply>(std::move(reply));
-    auto answer = [once, alive = loop_.alive()](Response response) {
+    auto answer = [this, once, alive = loop_.alive()](Response response) {
       if (!*alive || !*once) return;
-      auto run = std::exchange(*once, nullptr);
-      run(std::move(response));
+      world_.on_node(node_, [once, alive, response = std::move(response)] {
+        if (!*alive || !*once) return;
+        auto run = std::exchange(*once, nullptr);
+        run(response);
+      });
     };
     world_.at(world_.now() + timeout_s, [answer] { answer({}); });
     world_.http(node_, address, std::move(request), answer);
@@ -164,7 +173,7 @@
 
 struct World::Controller {
   Controller(World& world, int index, std::uint64_t seed)
-      : loop(world, 1 + (static_cast<int>(seed % 3) - 1) * 0.0005, seed),
+      : loop(world, index, 1 + (static_cast<int>(seed % 3) - 1) * 0.0005, seed),
         client(world, index, loop),
         peers(world, index),
         node(loop, sim_log(world, node_name(index)), site(index, world.nodes()), seed >> 1, client, peers) {}
@@ -179,8 +188,11 @@
   if (!world_.nodes_[static_cast<std::size_t>(target)]) return false;
   world_.carry(node_name(node_), node, world_.uniform(0.0002, 0.002),
                [this_world = &world_, target, from = node_name(node_), bytes = wire::encode(frame)] {
-                 if (auto& there = this_world->nodes_[static_cast<std::size_t>(target)])
-                   there->peers.receive(from, bytes);
+                 if (!this_world->nodes_[static_cast<std::size_t>(target)]) return;
+                 this_world->on_node(target, [this_world, target, from, bytes] {
+                   if (auto& there = this_world->nodes_[static_cast<std::size_t>(target)])
+                     there->peers.receive(from, bytes);
+                 });
                });
   return true;
 }
@@ -195,9 +207,10 @@
       nodes_(static_cast<std::size_t>(node_count_)) {
   address_of = [](const std::string& host) { return host; };
   to_node = [this](int node, Request request, net::Reply reply) {
-    auto& there = nodes_[static_cast<std::size_t>(node)];
-    if (!there) return reply({});
-    there->node.handle(std::move(request), std::move(reply));
+    if (!nodes_[static_cast<std::size_t>(node)]) return reply({});
+    on_node(node, [this, node, request = std::move(request), reply = std::move(reply)] {
+      if (auto& there = nodes_[static_cast<std::size_t>(node)]) there->node.handle(request, reply);
+    });
   };
   for (int node = 0; controllers && node < node_count_; ++node) boot_node(node);
 }
@@ -237,7 +250,26 @@
   slot->node.start();
 }
 
+void World::on_node(int node, std::function<void()> work) {
+  auto& freeze = freezes_[node];
+  if (now_ < freeze.until)
+    return at(freeze.until, [this, node, work = std::move(work)] { on_node(node, work); });
+  if (freeze.pending > 0) {
+    freeze.out_delay = std::exchange(freeze.pending, 0);
+    freeze.until = now_ + freeze.out_delay;
+  }
+  work();
+  freeze.out_delay = 0;
+}
+
+double World::out_delay(const std::string& from) const {
+  for (const auto& [node, freeze] : freezes_)
+    if (freeze.out_delay > 0 && node_name(node) == from) return freeze.out_delay;
+  return 0;
+}
+
 void World::crash(int node, double restart_after) {
+  freezes_.erase(node);
   nodes_[static_cast<std::size_t>(node)].reset();
   at(now_ + restart_after, [this, node] { boot_node(node); });
 }
@@ -265,6 +297,7 @@
 
 void World::carry(const std::string& from, const std::string& to, double latency,
                   std::function<void()> deliver) {
+  latency += out_delay(from);
   const auto* cut = link(from, to);
   if (cut == nullptr) return at(now_ + latency, std::move(deliver));
   // Held packets come when the cut is over, even if the sender has given up.
@@ -701,8 +734,8 @@
   at(now_ + timeout, [answer] { answer({}); });
   const int node = pick(node_count_);
   at(now_ + 0.002, [this, node, request = std::move(request), answer] {
-    to_node(node, request, [this, answer](const Response& response) {
-      at(now_ + 0.002, [answer, response] { answer(response); });
+    to_node(node, request, [this, node, answer](const Response& response) {
+      at(now_ + 0.002 + out_delay(node_name(node)), [answer, response] { answer(response); });
     });
   });
 }
@@ -859,7 +892,7 @@
   const double length = uniform(2, 30);
   const bool hold = chance(0.5);
   const auto node = node_name(pick(node_count_));
-  const int kind = pick(17);
+  const int kind = pick(19);
   log_->info("fault {} for {} s, {}, {}", kind, length, node, hold ? "packets held" : "packets lost");
   switch (kind) {
     case 0:
@@ -898,8 +931,15 @@
       return kill_machines(uniform(0.2, 0.6));
     case 15:
       return hang_machines(uniform(0.2, 0.6), settings_.lease_s * uniform(0.3, 1.6));
-    default:
+    case 16:
       return cut(node, "cloud", length, hold);
+    case 17:
+      // Shorter and longer than the leader's lease, up to longer than the workers'.
+      return freeze(pick(node_count_), chance(0.5) ? uniform(0.2, 6) : settings_.lease_s * uniform(0.1, 3));
+    default:
+      for (int i = 0; i < node_count_; ++i)
+        if (chance(0.5)) freeze(i, uniform(0.2, 25));
+      return;
   }
 }
 
@@ -909,6 +949,7 @@
   cloud_down_until_ = std::min(cloud_down_until_, now_);
   no_spot_until_ = std::min(no_spot_until_, now_);
   for (auto& [node, until] : refused_until_) until = std::min(until, now_);
+  for (auto& [node, freeze] : freezes_) freeze.pending = 0;
 }
 
 void World::force_start(const MemberId& member, std::size_t index) {
--- a/tests/sim/world.hpp
+++ b/tests/sim/world.hpp
@@ -22,7 +22,8 @@
 // Clock, timers and posts of one controller; all stop when the controller does.
 class SimLoop final : public runtime::Loop {
  public:
-  SimLoop(World& world, double drift, std::uint64_t seed) : world_(world), drift_(drift), random_(seed) {}
+  SimLoop(World& world, int node, double drift, std::uint64_t seed)
+      : world_(world), node_(node), drift_(drift), random_(seed) {}
   ~SimLoop() override { *alive_ = false; }
   double now() const override;
   double wall() const override;
@@ -33,6 +34,7 @@
 
  private:
   World& world_;
+  int node_;
   double drift_;
   std::mt19937_64 random_;
   std::shared_ptr<bool> alive_ = std::make_shared<bool>(true);
@@ -117,6 +119,9 @@
 
   // Faults.
   void crash(int node, double restart_after);
+  // The controller stands still while its clocks run on: from the middle of its next step, so that what that
+  // step sends after its last look at the clock goes out when it wakes. Messages and timers wait for it.
+  void freeze(int node, double seconds) { freezes_[node].pending = seconds; }
   void cut(const std::string& a, const std::string& b, double seconds, bool hold);
   void state_outage(double seconds) { state_down_until_ = now_ + seconds; }
   void refuse(int node, double seconds) { refused_until_[node] = now_ + seconds; }
@@ -179,7 +184,15 @@
     bool hold = false;
   };
 
+  struct Freeze {
+    double pending = 0;   // seconds from its next step
+    double until = 0;
+    double out_delay = 0;  // of what the present step sends
+  };
   void boot_node(int node);
+  // Runs work of a controller; later if it stands still.
+  void on_node(int node, std::function<void()> work);
+  double out_delay(const std::string& from) const;
   // Carries a message; it arrives late or never when the link is cut.
   void carry(const std::string& from, const std::string& to, double latency, std::function<void()> deliver);
   const Link* link(const std::string& a, const std::string& b) const;
@@ -239,6 +252,7 @@
   double state_down_until_ = 0;
   bool state_was_down_ = false;
   std::map<int, double> refused_until_;
+  std::map<int, Freeze> freezes_;
 
   double cloud_down_until_ = 0;
   double no_spot_until_ = 0;
