--- a/tests/sim/world.cpp
+++ b/tests/sim/world.cpp
@@ -315,7 +315,22 @@
   auto back = [this, me, peer, latency, reply = std::move(reply)](Response response) {
     carry(peer, me, latency, [reply, response = std::move(response)] { reply(response); });
   };
-  carry(me, peer, latency, [this, node, state, cloud, address, request = std::move(request), back] {
+  std::vector<std::uint64_t> starts;
+  const auto* cut = link(me, peer);
+  if (!state && !cloud && request.path == "/commands" && (cut == nullptr || cut->hold)) {
+    const auto body = Json::parse(request.body);
+    for (const auto& order : wire::parse_orders(body["orders"]))
+      for (const auto& [host, machine] : machines_)
+        if (order.verb == wire::Verb::start && address_of(host) == address) {
+          starts.push_back(++next_direct_);
+          direct_starts_[next_direct_] = {host, order.member, order.try_no,
+                                          body["fence"].get<std::uint64_t>(), body["tenure"].get<std::uint64_t>()};
+        }
+  }
+  carry(me, peer, latency, [this, node, state, cloud, address, request = std::move(request), back, starts] {
+    const auto arrived = [this, starts] {
+      for (const auto start : starts) direct_starts_.erase(start);
+    };
     if (state) {
       bool answered = true;
       auto response = state_call(node, request, back, answered);
@@ -325,13 +340,18 @@
     if (cloud) return back(cloud_call(request));
     for (auto& [host, machine] : machines_) {
       if (address_of(host) != address || !machine.up || machine.dead) continue;
-      if (now_ >= machine.hung_until) return back(command(machine, request));
+      if (now_ >= machine.hung_until) {
+        arrived();
+        return back(command(machine, request));
+      }
       // A hanging machine executes what has arrived when it goes on.
-      return at(machine.hung_until + 0.01, [this, host = host, request, back] {
+      return at(machine.hung_until + 0.01, [this, host = host, request, back, arrived] {
+        arrived();
         const auto found = machines_.find(host);
         if (found != machines_.end() && !found->second.dead) back(command(found->second, request));
       });
     }
+    arrived();  // nobody is there
   });
 }
 
@@ -388,6 +408,7 @@
       failed.push_back(condition["k"]);
   }
   if (!failed.empty()) return {409, Json{{"failed", failed}, {"epoch", epoch_}}.dump(), std::nullopt};
+  check_commit(body);
   if (!body["writes"].empty()) {
     ++epoch_;
     for (const auto& write : body["writes"]) {
@@ -435,6 +456,10 @@
     return {200, "{}", std::nullopt};
   }
   if (request.path.starts_with("/watch")) {
+    if (node == deaf_node) {
+      answered = false;
+      return {};
+    }
     const auto after = std::stoull(request.path.substr(request.path.find("after=") + 6));
     const double block = std::stod(request.path.substr(request.path.find("block_ms=") + 9)) / 1000;
     if (block == 0 || epoch_ > after) return {200, news(after).dump(), std::nullopt};
@@ -471,6 +496,8 @@
   if (request.path == "/machines") {
     const auto body = Json::parse(request.body);
     const auto name = body["rental"].get<std::string>();
+    // Invariant 3: else a new leader would not know of it.
+    if (!keys_.contains(wire::rental_key(name))) violate("unrecorded", "rental " + name);
     if (!rentals_.contains(name)) {
       const bool spot = body["reclaimable"].get<bool>();
       const auto have =
@@ -564,6 +591,10 @@
   return report;
 }
 
+Request World::report_now(const std::string& host) const {
+  return {Method::post, "/v1/report", to_json(report_of(machines_.at(host))).dump()};
+}
+
 void World::send_report(SimMachine& machine) {
   machine.in_flight = true;
   machine.report_wanted = false;
@@ -648,6 +679,7 @@
       found->second.cause = ExitCause::halted;
       want_report(machine);
     } else if (found->second.phase == MemberPhase::exited) {
+      check_forget(machine, order);
       machine.tasks.erase(found);
     }
   }
@@ -975,6 +1007,28 @@
   return false;
 }
 
+// Invariant 1: a leader's transaction that arrives after the next win must fail, whatever it holds.
+void World::check_commit(const Json& body) {
+  const auto& when = body["when"];
+  const bool fenced = std::any_of(when.begin(), when.end(),
+                                  [](const Json& condition) { return condition["k"] == wire::kTermKey; });
+  for (const auto& write : body["writes"]) {
+    const auto key = (write.contains("write") ? write["write"] : write["delete"]).get<std::string>();
+    const bool leaders = key.starts_with(wire::kMachines) || key.starts_with(wire::kRentals) ||
+                         key.starts_with(wire::kFinished) || key == wire::kCatalogueKey;
+    if (leaders && !fenced) violate("fence", key + " written without the term");
+  }
+}
+
+// Invariant 7: a start of the forgotten attempt that is still on its way, and would be executed, would start it
+// once more.
+void World::check_forget(const SimMachine& machine, const wire::Order& order) {
+  for (const auto& [id, start] : direct_starts_)
+    if (start.host == machine.host && start.member == order.member && start.try_no == order.try_no &&
+        start.fence >= machine.fence && start.tenure == machine.tenure)
+      violate("forgot_early", order.member.text() + " on " + machine.host);
+}
+
 void World::check_records() {
   for (const auto& [key, entry] : keys_) {
     if (entry.data.dump().size() > settings_.state_value_kb * 1024)
@@ -1023,6 +1077,8 @@
 }
 
 void World::check_step() {
+  // Invariant 2.
+  if (leaders() > 1) violate("two_leaders", std::to_string(leaders()) + " controllers may give orders");
   if (steps_ % 512 == 0) check_records();
   if (steps_ % 64 == 0 && chance(0.05)) ask_unknown();
   for (const auto& [host, machine] : machines_) {
--- a/tests/sim/world.hpp
+++ b/tests/sim/world.hpp
@@ -139,6 +139,8 @@
   // Users.
   void submit_random();
   void submit(SimJob job);
+  void cancel(const std::string& uid) { user_cancel(uid); }
+  net::Request report_now(const std::string& host) const;  // what the machine would report
 
   // For the tests of the checker itself.
   void force_start(const wire::MemberId& member, std::size_t machine);
@@ -161,6 +163,7 @@
   // Knobs.
   int most_machines = 14;          // that the cloud has
   double report_delay = 0;         // on the way to the controllers
+  int deaf_node = -1;              // its watches of the state service are not answered
   bool unchecked_records = false;  // for starts that no controller ordered
   bool recorded(const std::string& host) const;
   const std::map<std::string, StateKey>& keys() const { return keys_; }
@@ -227,6 +230,8 @@
   void check_phase(SimJob& job, const net::Response& response, double asked);
 
   void violate(const std::string& rule, const std::string& what);
+  void check_commit(const wire::Json& body);
+  void check_forget(const SimMachine& machine, const wire::Order& order);
   void check_start(const SimMachine& machine, const wire::MemberId& member);
   void check_step();
   void check_records();
@@ -261,6 +266,15 @@
   int next_job_ = 0;
   std::map<std::string, SimMachine> machines_;
   std::map<std::string, SimJob> jobs_;
+  struct DirectStart {  // on its way to a machine
+    std::string host;
+    wire::MemberId member;
+    wire::TryNo try_no;
+    std::uint64_t fence = 0;
+    std::uint64_t tenure = 0;
+  };
+  std::map<std::uint64_t, DirectStart> direct_starts_;
+  std::uint64_t next_direct_ = 0;
   std::vector<std::string> broken_;
 };
 
--- a/tests/sim_test.cpp
+++ b/tests/sim_test.cpp
@@ -154,6 +154,50 @@
   EXPECT_TRUE(world.broken().empty()) << listing(world.broken());
 }
 
+// Invariant 2: a leader that keeps its lease but learns nothing more, of cancellations for one, must stop
+// answering workers, or their tasks would go on for good.
+TEST(Scenario, LeaderThatLearnsNothing) {
+  World world(13);
+  world.run(5);
+  auto job = plain_job("red", 4, 2, 1000);
+  job.kept = true;
+  world.submit(job);
+  world.run(40);
+  ASSERT_EQ(world.starts(), 4U);
+  world.deaf_node = world.leader();
+  world.cancel("job-000000");
+  world.run(130);
+  EXPECT_GT(world.jobs().at("job-000000").told_cancelled, 0);
+  EXPECT_TRUE(world.broken().empty()) << listing(world.broken());
+  world.deaf_node = -1;
+}
+
+// Invariant 11: a report that arrives late tells of tasks that are long over: taken for news, they would hold
+// their room on the machine for good.
+TEST(Scenario, ReportsThatArriveLateChangeNothing) {
+  World world(15);
+  world.most_machines = 1;
+  world.run(5);
+  const auto small = [] {
+    auto job = plain_job("red", 1, 4, 8);
+    job.spec.flavors = std::vector<std::string>{"small"};
+    job.kept = true;
+    return job;
+  };
+  world.submit(small());
+  while (world.now() < 60 && world.starts() == 0) world.run(world.now() + 0.1);
+  world.run(world.now() + 1);
+  const auto late = world.report_now(world.machines().begin()->first);
+  while (world.now() < 90 && !world.jobs().at("job-000000").told_done) world.run(world.now() + 0.1);
+  ASSERT_TRUE(world.jobs().at("job-000000").told_done);
+  const double began = world.now();
+  world.to_node(world.leader(), late, [](const net::Response&) {});
+  world.submit(small());
+  world.run(began + 20);
+  EXPECT_TRUE(world.jobs().at("job-000001").told_done) << "its room was taken";
+  EXPECT_TRUE(world.broken().empty()) << listing(world.broken());
+}
+
 // What is stored of jobs that are over and of machines that are gone is cleaned up.
 TEST(Scenario, RecordsAreCleanedUp) {
   World world(41);
