--- a/src/leader/leader.cpp
+++ b/src/leader/leader.cpp
@@ -49,13 +49,14 @@
   if (const auto* type = flavor(machine.flavor)) machine.size = type->size;
 }
 
-bool Leader::valid() const {
-  // Invariant 2, and: a leader that cannot learn of cancellations must not keep workers' leases alive.
-  const double deaf = (settings_.cancel_s - settings_.lease_s) / 3;
-  const double now = loop().now();
-  return reigning_ && now < valid_until_ && now - synced_at_ < deaf;
+// A leader that cannot learn of cancellations must not keep workers' leases alive.
+bool Leader::deaf() const {
+  return loop().now() - synced_at_ >= (settings_.cancel_s - settings_.lease_s) / 3;
 }
 
+// Invariant 2.
+bool Leader::valid() const { return reigning_ && loop().now() < valid_until_ && !deaf(); }
+
 void Leader::on(Changed& message) {
   for (const auto& change : *message.changes) {
     if (has_prefix(change.key, wire::kJobs)) {
@@ -323,6 +324,8 @@
     next_sync_ = now + kSyncS;
     resync();
   }
+  // Nor must it keep the leadership, when its renewals alone are answered.
+  if (deaf() && now < valid_until_) return ports_.resign();
   if (!valid()) return;
   age_reclaims(passed);
   if (now >= next_catalogue_) fetch_catalogue();
--- a/src/leader/leader.hpp
+++ b/src/leader/leader.hpp
@@ -83,6 +83,7 @@
   void start();
   // Whether this controller may give orders at this moment (invariant 2).
   bool valid() const;
+  bool deaf() const;
   std::uint64_t term() const { return term_; }
 
   void on(Changed& message);
--- a/tests/sim_test.cpp
+++ b/tests/sim_test.cpp
@@ -164,9 +164,12 @@
   world.submit(job);
   world.run(40);
   ASSERT_EQ(world.starts(), 4U);
-  world.deaf_node = world.leader();
+  const int deaf = world.deaf_node = world.leader();
+  world.run(52);  // the watch that was open before has ended
   world.cancel("job-000000");
   world.run(130);
+  EXPECT_NE(world.leader(), deaf) << "it kept the leadership";
+  EXPECT_EQ(world.leaders(), 1);
   EXPECT_GT(world.jobs().at("job-000000").told_cancelled, 0);
   EXPECT_TRUE(world.broken().empty()) << listing(world.broken());
   world.deaf_node = -1;
@@ -190,6 +193,8 @@
   const auto late = world.report_now(world.machines().begin()->first);
   while (world.now() < 90 && !world.jobs().at("job-000000").told_done) world.run(world.now() + 0.1);
   ASSERT_TRUE(world.jobs().at("job-000000").told_done);
+  world.run(world.now() + 7);  // forgotten with a regular report
+  ASSERT_TRUE(world.machines().begin()->second.tasks.empty());
   const double began = world.now();
   world.to_node(world.leader(), late, [](const net::Response&) {});
   world.submit(small());
