--- a/src/leader/placement.cpp
+++ b/src/leader/placement.cpp
@@ -281,7 +281,9 @@
   const double now = loop().now();
   // What was stopped for it before is on its way.
   if (now - job.made_room_at < settings_.pace_s)
-    return now - job.made_room_at < kRoomComes * settings_.pace_s;
+    // Room made where the image is not is all that it gets: waiting on for a better one, a service left it to
+    // the next batch and made room again each pace, 20 s down after its machine died (lakaskalk, troubles).
+    return now - job.made_room_at < kRoomComes * settings_.pace_s && (!with_image || job.room_has_image);
   // Stopped work is mostly lost, and borrowed room comes back by itself as tasks end: taken back by force
   // is only what long tasks would not give back soon, when a whole round has not brought enough.
   const bool guaranteed = within_guarantee(job) && loop().wall() - job.accepted_at > settings_.round_s &&
@@ -339,6 +341,7 @@
   });
   if (best == nullptr) return false;
   job.made_room_at = now;
+  job.room_has_image = !best_loss.first;
   for (const auto& member : best_victims) {
     auto& bind = best->binds.at(member);
     const auto& spec = jobs_.at(member.job).spec;
