leader: one way to drain a machine and to use it again; one memory, one trial of faulty jobs

No change of behaviour: draining was written out in four places and undone in two; boots and reclaims fade by one formula; 'one task of a faulty job' is one predicate for placement and its loop; a machine that is gone leaves the surplus at once instead of being looked for at each plan; a warned machine is indexed once. Tests use small_job where they built its like.

--- a/src/leader/fleet.cpp
+++ b/src/leader/fleet.cpp
@@ -28,14 +28,12 @@
 // Ratios to a type's usual boot time.
 constexpr double kBootLate = 1.6;  // no longer counted as coming: the protocol's usual boot takes up to 1.5
 constexpr double kBootNever = 3;   // given up
-// Boots count as bad from this share of late ones on and as well from half of it down, of at least so many,
-// and a boot counts a third after so many rounds.
+// Boots count as bad from this share of late ones on and as well from half of it down, of at least so many.
 constexpr double kBootsBad = 0.3;
 constexpr double kBootsKnown = 5;
-constexpr double kBootMemory = 4;
+constexpr double kMemory = 4;  // rounds after which a boot or a reclaim counts a third: a wave passes
 constexpr double kStockoutPause = 0.5;  // in rounds, doubled up to the next
 constexpr double kStockoutMost = 4;
-constexpr double kReclaimMemory = 4;  // rounds after which a reclaim counts a third: a wave passes
 constexpr int kRentalsAtOnce = 8;
 const std::string kSurplus = "more than planned";
 constexpr double kDriftAllowance = 1.002;
@@ -55,15 +53,18 @@
                              }));
 }
 
+// What is left, after so many seconds, of something counted.
+double Leader::kept(double passed) const { return std::exp(-passed / (kMemory * settings_.round_s)); }
+
 // Reclaims are forgotten after some rounds. Counted for good, one wave kept every spot type above phi for the
 // rest of the reign: alpha's budget stayed unspent and work waited (days/ops-boots-slow).
 void Leader::age_reclaims(double passed) {
-  const double kept = std::exp(-passed / (kReclaimMemory * settings_.round_s));
+  const double rest = kept(passed);
   for (const auto& [pool, state] : fleet_.pools())
     if (pool.reclaimable) reclaims_[pool.flavor].machine_s += passed * static_cast<double>(state.sums.up);
   for (auto& [flavor, reclaims] : reclaims_) {
-    reclaims.count *= kept;
-    reclaims.machine_s *= kept;
+    reclaims.count *= rest;
+    reclaims.machine_s *= rest;
   }
 }
 
@@ -176,6 +177,7 @@
   // the most part. What a type cannot give is asked of the next.
   for (const bool spot : {true, false}) {
     double& lack = missing[spot ? 1 : 0];
+    if (!spot) recall_surplus(lack);
     std::vector<std::size_t> left;
     for (std::size_t i = 0; i < offers.size(); ++i)
       if (!spot || offers[i].spot_allowed) left.push_back(i);
@@ -194,7 +196,6 @@
     // Exception to the design (its first doubt): alpha's budget that no spot type can take must not stay
     // unspent while work waits.
     if (spot && lack > 0 && waiting) missing[0] += lack;
-    if (spot) recall_surplus(missing[0]);
   }
   spare_steady(missing[0]);
   // Ready work that no machine can take earns its type at least one machine.
@@ -239,10 +240,9 @@
   double idle_spot = 0;
   for (const auto& [pool, state] : fleet_.pools())
     if (pool.reclaimable) idle_spot += state.sums.free_cores;
-  for (auto host = surplus_.begin(); host != surplus_.end();) {
-    const auto* machine = fleet_.peek(*host);
-    if (machine != nullptr && !machine->releasing) idle_spot -= machine->size.cores;
-    host = machine == nullptr ? surplus_.erase(host) : std::next(host);
+  for (const auto& host : surplus_) {
+    const auto* machine = fleet_.peek(host);
+    if (!machine->releasing) idle_spot -= machine->size.cores;
   }
   spare_cores_ = std::max(0.0, std::min(-missing, idle_spot));
 }
@@ -252,25 +252,36 @@
   while (missing > kRounding && !surplus_.empty()) {
     auto* machine = fleet_.find(*surplus_.begin());
     surplus_.erase(surplus_.begin());
-    if (machine == nullptr || machine->releasing || machine->drain_reason != kSurplus) continue;
-    machine->draining = false;
-    machine->drain_reason.clear();
+    if (machine->releasing || !use_again(*machine, kSurplus)) continue;
     machine->idle_since = loop().now();
-    fleet_.refresh(*machine);
     missing -= machine->size.cores;
     ++tally_["surplus machines wanted again"];
-    place_soon();
   }
 }
 
+// Takes no more tasks, and is returned once empty.
+void Leader::drain(Machine& machine, const std::string& reason) {
+  machine.draining = true;
+  machine.drain_reason = reason;
+  fleet_.refresh(machine);
+}
+
+// Undoes it if that was the reason; says whether it was.
+bool Leader::use_again(Machine& machine, const std::string& reason) {
+  if (machine.drain_reason != reason) return false;
+  machine.draining = false;
+  machine.drain_reason.clear();
+  fleet_.refresh(machine);
+  place_soon();
+  return true;
+}
+
 void Leader::spare(Machine& machine) {
   if (machine.reclaimable || machine.size.cores > spare_cores_ || machine.service_cores > 0) return;
   if (!machine.takes_tasks() || loop().now() - machine.first_seen < kLeastChargeS) return;
   spare_cores_ -= machine.size.cores;
-  machine.draining = true;
-  machine.drain_reason = kSurplus;
+  drain(machine, kSurplus);
   surplus_.insert(machine.host);
-  fleet_.refresh(machine);
   ++tally_["machines surplus"];
 }
 
@@ -413,9 +424,9 @@
 // Counts a boot as in time or late, and tells the operators when boots in general become bad or well again.
 void Leader::note_boot(bool in_time) {
   const double now = loop().now();
-  const double kept = std::exp(-(now - std::exchange(boots_.at, now)) / (kBootMemory * settings_.round_s));
-  boots_.in_time = boots_.in_time * kept + (in_time ? 1 : 0);
-  boots_.late = boots_.late * kept + (in_time ? 0 : 1);
+  const double rest = kept(now - std::exchange(boots_.at, now));
+  boots_.in_time = boots_.in_time * rest + (in_time ? 1 : 0);
+  boots_.late = boots_.late * rest + (in_time ? 0 : 1);
   const double known = boots_.in_time + boots_.late;
   if (known < kBootsKnown) return;
   const double share = boots_.late / known;
@@ -461,8 +472,7 @@
     if (!machine.confirmed) {
       log_->debug("machine {}: unconfirmed and its lease has run out", machine.host.value);
       machine.confirmed = true;
-      machine.draining = true;
-      machine.drain_reason = "lease ran out unheard";
+      drain(machine, "lease ran out unheard");
     }
     // Once, and nothing is placed there until it is heard again: a task told to start in a session that
     // is only assumed could run although its lease seems to have run out long ago.
@@ -534,6 +544,7 @@
 void Leader::gone(const wire::HostId& host) {
   const double now = loop().now();
   to_release_.erase(host);
+  surplus_.erase(host);
   for (; !gone_order_.empty() && now - gone_order_.front().first > kGoneKeptS; gone_order_.pop_front())
     gone_.erase(gone_order_.front().second);
   if (gone_.emplace(host, now).second) gone_order_.emplace_back(now, host);
--- a/src/leader/leader.hpp
+++ b/src/leader/leader.hpp
@@ -230,6 +230,8 @@
   void spare_steady(double missing);
   void recall_surplus(double& missing);
   void spare(model::Machine& machine);
+  void drain(model::Machine& machine, const std::string& reason);
+  bool use_again(model::Machine& machine, const std::string& reason);
   void ask(const std::string& name);
   void rented(const std::string& name, const cloud::Rented& result);
   void settle_rentals();
@@ -246,6 +248,7 @@
   double idle_limit(const model::Machine& machine) const;
   bool reclaim_share_allows(const std::string& flavor) const;
   void age_reclaims(double passed);
+  double kept(double passed) const;
 
   runtime::Log log_;
   Settings settings_;
--- a/src/leader/placement.cpp
+++ b/src/leader/placement.cpp
@@ -76,8 +76,7 @@
 
 bool Leader::may_start(const Job& job) const {
   if (!job.live() || job.ready == 0 || loop().now() < job.blocked_until) return false;
-  if (job.faulty && job.bound > 0) return false;  // one task of it is enough to see
-  return !unconfirmed_could_hold(job);
+  return !job.on_trial() && !unconfirmed_could_hold(job);
 }
 
 bool Leader::team_has_room(const Job& job) const {
@@ -222,7 +221,7 @@
       return item.need.fits(job.spec.need) && (item.reclaimable || !job.spec.reclaimable);
     });
     std::uint32_t index = 0;
-    while (left > 0 && job.next_ready(index)) {
+    while (left > 0 && !job.on_trial() && job.next_ready(index)) {
       if (!team_has_room(job)) {
         job.reason = "the team's limit is reached";
         break;
@@ -253,7 +252,6 @@
       if (!answered_now.contains(machine->host))
         orders[machine->host].push_back({Verb::start, member, machine->binds.at(member).try_no, 0});
       if (job.ready == 0) job.reason.clear();
-      if (job.faulty) break;
     }
   }
   for (auto& [host, list] : orders)
--- a/src/leader/reports.cpp
+++ b/src/leader/reports.cpp
@@ -323,9 +323,7 @@
     const bool sick = machine.error_jobs.size() >= kMachineErrorJobs ||
                       (!job.faulty && job.finished > 0 && machine.errors_in_row >= kMachineErrors);
     if (sick && !machine.draining) {
-      machine.draining = true;
-      machine.drain_reason = kSick;
-      fleet_.refresh(machine);
+      drain(machine, kSick);
       log_->warn("machine {}: tasks keep failing there, taking it out of use", machine.host.value);
     }
     if (!job.faulty) return;
@@ -345,11 +343,7 @@
     auto* machine = fleet_.find(host);
     if (machine == nullptr || machine->error_jobs.erase(job.spec.uid) == 0) continue;
     machine->errors_in_row = 0;
-    if (machine->drain_reason != kSick || machine->error_jobs.size() >= kMachineErrorJobs) continue;
-    machine->draining = machine->warned_until.has_value();
-    machine->drain_reason.clear();
-    fleet_.refresh(*machine);
-    place_soon();
+    if (machine->error_jobs.size() < kMachineErrorJobs) use_again(*machine, kSick);
   }
 }
 
@@ -476,8 +470,7 @@
   const double now = loop().now();
   if (machine.warned_until) return;
   machine.warned_until = now + warning_s;
-  machine.draining = true;
-  machine.drain_reason = "the cloud takes it back";
+  drain(machine, "the cloud takes it back");
   reclaims_[machine.flavor].count += 1;
   log_->debug("machine {}: the cloud takes it in {} s, {} tasks", machine.host.value, warning_s,
               machine.binds.size());
@@ -492,7 +485,6 @@
     bind.stopping = true;
     bind.wind_down_s = spec.snapshot_every_s > 0 && spec.flush_s < warning_s / 2 ? spec.flush_s : 0;
   }
-  fleet_.refresh(machine);
   plan_soon();
 }
 
--- a/src/model/job.hpp
+++ b/src/model/job.hpp
@@ -37,7 +37,7 @@
   double blocked_until = 0;  // steady clock
   double made_room_at = -1e9;
   bool room_has_image = false;  // the room made last
-  std::string reason;  // why it waits or what failed, for its owner
+  std::string reason;           // why it waits or what failed, for its owner
   bool progress_dirty = true;
 
   bool live() const { return phase == wire::JobPhase::accepted; }
@@ -45,6 +45,8 @@
 
   void reset_marks();
   void set_mark(std::uint32_t index, Mark mark);
+  // Of a faulty job one task is enough to see.
+  bool on_trial() const { return faulty && bound > 0; }
   // Tasks that are worth a machine: of a faulty job one.
   std::uint32_t unfinished() const { return faulty ? 1 : ready + bound; }
   // The next ready task at or after the cursor; false if there is none.
--- a/tests/sim_test.cpp
+++ b/tests/sim_test.cpp
@@ -64,6 +64,13 @@
   return job;
 }
 
+SimJob small_job(std::uint32_t members, double cores, double run_s) {
+  auto job = plain_job("red", members, cores, run_s);
+  job.spec.flavors = std::vector<std::string>{"small"};
+  job.kept = true;
+  return job;
+}
+
 bool caught(World& world, const std::string& rule) {
   for (const auto& item : world.broken())
     if (item.starts_with(rule)) return true;
@@ -181,13 +188,7 @@
   World world(15);
   world.most_machines = 1;
   world.run(5);
-  const auto small = [] {
-    auto job = plain_job("red", 1, 4, 8);
-    job.spec.flavors = std::vector<std::string>{"small"};
-    job.kept = true;
-    return job;
-  };
-  world.submit(small());
+  world.submit(small_job(1, 4, 8));
   while (world.now() < 60 && world.starts() == 0) world.run(world.now() + 0.1);
   world.run(world.now() + 1);
   const auto late = world.report_now(world.machines().begin()->first);
@@ -197,19 +198,12 @@
   ASSERT_TRUE(world.machines().begin()->second.tasks.empty());
   const double began = world.now();
   world.to_node(world.leader(), late, [](const net::Response&) {});
-  world.submit(small());
+  world.submit(small_job(1, 4, 8));
   world.run(began + 20);
   EXPECT_TRUE(world.jobs().at("job-000001").told_done) << "its room was taken";
   EXPECT_TRUE(world.broken().empty()) << listing(world.broken());
 }
 
-SimJob small_job(std::uint32_t members, double cores, double run_s) {
-  auto job = plain_job("red", members, cores, run_s);
-  job.spec.flavors = std::vector<std::string>{"small"};
-  job.kept = true;
-  return job;
-}
-
 // Jobs that fail everywhere take no good machine out of use, and are tried with one task at a time.
 TEST(Scenario, FaultyJobsTakeNoMachineOutOfUse) {
   World world(17);
@@ -314,12 +308,7 @@
 TEST(Scenario, LeaderThatCannotReachTheWorkers) {
   World world(12);
   world.run(5);
-  for (int i = 0; i < 4; ++i) {
-    auto job = plain_job("red", 4, 2, 200);
-    job.spec.flavors = std::vector<std::string>{"small"};
-    job.kept = true;
-    world.submit(job);
-  }
+  for (int i = 0; i < 4; ++i) world.submit(small_job(4, 2, 200));
   world.run(45);
   std::vector<std::string> before;
   for (const auto& [host, machine] : world.machines())
