--- a/src/app/settings.cpp
+++ b/src/app/settings.cpp
@@ -117,10 +117,16 @@
   if (settings.cancel_s <= settings.lease_s)
     throw BadSettings("settings: field 'cancel_s' must be above 'lease_s'");
   const auto& state = section(params, "state");
-  settings.state_rps = positive(state, "rps");
-  settings.state_write_rps = positive(state, "write_rps");
-  settings.state_value_kb = positive(state, "value_kb");
-  settings.state_txn_ops = static_cast<std::size_t>(positive(state, "txn_ops"));
+  const Json none = Json::object();
+  const Json& next = wire::absent(state, "next") ? none : section(state, "next");
+  const auto smaller = [&](const char* name) {
+    const double now = positive(state, name);
+    return wire::absent(next, name) ? now : std::min(now, positive(next, name));
+  };
+  settings.state_rps = smaller("rps");
+  settings.state_write_rps = smaller("write_rps");
+  settings.state_value_kb = smaller("value_kb");
+  settings.state_txn_ops = std::max<std::size_t>(1, static_cast<std::size_t>(smaller("txn_ops")));
   const auto& cloud = section(params, "cloud");
   settings.cloud_rps = positive(cloud, "rps");
   settings.list_lag_s = wire::amount_field(cloud, "list_lag_s");
--- a/src/app/settings.hpp
+++ b/src/app/settings.hpp
@@ -57,6 +57,8 @@
   double pace_s = 0;
   double lease_s = 0;
   double cancel_s = 0;
+  // Of the limits that the state service has and those that it will have (`state.next`) the smaller: these
+  // come without notice.
   double state_rps = 0;
   double state_write_rps = 0;
   double state_value_kb = 0;
--- a/src/election/elector.cpp
+++ b/src/election/elector.cpp
@@ -120,7 +120,7 @@
                         {wire::kLeaderKey, to_json(wire::LeaderRecord{node_, incarnation_, hold}), hold}};
   store_.tell(state::Commit{std::move(transaction), guard([this, hold](state::CommitResult result) {
                               if (hold_ != hold) return;
-                              if (result.outcome == Outcome::conflict || result.outcome == Outcome::refused) {
+                              if (result.outcome != Outcome::done && result.outcome != Outcome::unknown) {
                                 log_->debug("election: another controller was first");
                                 store_.tell(state::EndLease{hold});
                                 hold_ = 0;
--- a/src/gateway/gateway.cpp
+++ b/src/gateway/gateway.cpp
@@ -1,5 +1,6 @@
 #include "gateway/gateway.hpp"
 
+#include <algorithm>
 #include <utility>
 
 namespace bankhill::gateway {
@@ -17,10 +18,17 @@
 constexpr double kStateSilenceS = 2.5;
 constexpr double kRelayS = 1.5;  // users wait 2 s for a poll
 constexpr int kTries = 5;
+constexpr std::size_t kAskAtOnce = 8;  // records read at the same time
+constexpr double kAskAgainS = 0.5;
+constexpr std::size_t kNamed = 20;     // jobs that an answer names as waited for
+constexpr std::size_t kLookedAt = 16;  // of them, for why they are not done yet
+constexpr int kStepsUp = 64;           // from a job to the one that its pipeline stands at
 
 Response error(int status, const std::string& text) {
   return {status, Json{{"error", text}}.dump(), std::nullopt};
 }
+
+Response too_long() { return error(400, "the description is longer than can be stored"); }
 }  // namespace
 
 Gateway::Gateway(runtime::Loop& loop, runtime::Log log, state::Store& store, net::Relay& relay,
@@ -42,30 +50,113 @@
 }
 
 void Gateway::on(Changed& message) {
+  // Jobs last: what they wait for may stand under further keys of the same transaction.
   for (const auto& change : *message.changes) {
-    if (change.key == wire::kCatalogueKey && change.data) flavors_ = wire::parse_flavors(*change.data);
-    if (!change.key.starts_with(wire::kJobs) || !change.data) continue;
-    learn(JobId{change.key.substr(wire::kJobs.size())}, {*change.data, change.stamp});
+    if (auto flavors = catalogue_.learn(change.key, change.data)) flavors_ = std::move(*flavors);
+    if (!change.key.starts_with(wire::kWaits)) continue;
+    if (change.data)
+      waits_parts_[change.key] = *change.data;
+    else
+      waits_parts_.erase(change.key);
   }
+  for (const auto& change : *message.changes)
+    if (change.key.starts_with(wire::kJobs) && change.data)
+      learn(JobId{change.key.substr(wire::kJobs.size())}, {*change.data, change.stamp});
+  ask_unknown();
+  forget_old();
 }
 
 void Gateway::learn(const JobId& id, const state::Entry& entry) {
+  using State = model::JobFact::State;
   auto& known = jobs_[id];
   if (known.stamp >= entry.stamp) return;
+  const bool fresh = known.stamp.value == 0;
   const bool was_final = known.phase != JobPhase::accepted;
   auto record = wire::parse_job_record(entry.data);
   known.stamp = entry.stamp;
   known.phase = record.phase;
   known.members = record.spec.members;
+  known.service = record.spec.shape == wire::Shape::daemon;
+  model::JobFact fact;
+  fact.stamp = entry.stamp;
+  fact.state = known.phase == JobPhase::accepted ? State::accepted
+               : known.phase == JobPhase::done   ? State::done
+                                                 : State::cancelled;
+  if (known.phase == JobPhase::accepted && fresh) add_waits(id, record, entry.stamp);
+  waits_.learn(id, fact);
+  waits_.take_news();  // what has become of a job is asked when its user asks
   if (known.phase == JobPhase::accepted) {
     known.record = std::move(record);
     return;
   }
   known.record.reset();
   known.progress = {};
-  if (was_final) return;
-  final_order_.push_back(id);
-  // Invariant 12: memory is bounded; what leaves it is read from the state service.
+  if (!was_final) final_order_.push_back(id);
+}
+
+void Gateway::add_waits(const JobId& id, wire::JobRecord& record, wire::Stamp stamp) {
+  bool incomplete = false;
+  for (std::uint32_t part = 0; part < record.waits_parts; ++part) {
+    const auto found = waits_parts_.find(wire::waits_key(id, part));
+    incomplete = incomplete || found == waits_parts_.end();
+    if (found == waits_parts_.end()) continue;
+    for (auto& need : wire::parse_waits_part(found->second)) record.spec.waits_on.push_back(std::move(need));
+  }
+  if (record.spec.waits_on.empty() && !incomplete) return;
+  model::JobFact fact;
+  fact.state = model::JobFact::State::accepted;
+  fact.stamp = stamp;
+  waits_.add(id, fact, record.spec.waits_on, incomplete, [this](const JobId& need) {
+    using State = model::JobFact::State;
+    model::JobFact known_of;
+    const auto found = jobs_.find(need);
+    if (found == jobs_.end()) return known_of;
+    known_of.stamp = found->second.stamp;
+    known_of.state = found->second.phase == JobPhase::accepted ? State::accepted
+                     : found->second.phase == JobPhase::done   ? State::done
+                                                               : State::cancelled;
+    return known_of;
+  });
+}
+
+// Named jobs that left memory long ago: not knowing is taken neither for done nor for cancelled.
+void Gateway::ask_unknown() {
+  for (const auto& id : waits_.take_questions()) {
+    if (asking_for_.contains(id)) continue;
+    if (asking_for_.size() >= kAskAtOnce) {
+      waits_.ask_again(id);
+      continue;
+    }
+    asking_for_.insert(id);
+    store_.tell(state::Fetch{wire::job_key(id),
+                             guard([this, id](bool known, const std::optional<state::Entry>& entry) {
+                               asking_for_.erase(id);
+                               if (!known) {
+                                 waits_.ask_again(id);
+                                 ask_timer_ = loop().after(kAskAgainS, guard([this] { ask_unknown(); }));
+                                 return;
+                               }
+                               if (entry) {
+                                 learn_final(id, *entry);
+                                 forget_old();
+                               } else {
+                                 model::JobFact missing;
+                                 missing.state = model::JobFact::State::missing;
+                                 waits_.learn(id, missing);
+                                 log_->warn("job {}: is waited for and has no record", id.value);
+                               }
+                               ask_unknown();
+                             })});
+  }
+}
+
+// A record read by itself. One of a live job comes with the watch, in order and with all that belongs to it.
+void Gateway::learn_final(const JobId& id, const state::Entry& entry) {
+  if (wire::parse_job_record(entry.data).phase != JobPhase::accepted) learn(id, entry);
+}
+
+// Invariant 12: memory is bounded; what leaves it is read from the state service.
+void Gateway::forget_old() {
   while (final_order_.size() > final_states_kept_) {
     jobs_.erase(final_order_.front());
     final_order_.pop_front();
@@ -73,6 +164,10 @@
   }
 }
 
+bool Gateway::over(const JobId& id, const Known& known) const {
+  return known.phase != JobPhase::accepted || waits_.cancelled(id);
+}
+
 void Gateway::on(Progressed& message) {
   const auto found = jobs_.find(JobId{message.progress.job});
   if (found != jobs_.end() && found->second.phase == JobPhase::accepted)
@@ -107,20 +202,21 @@
   // Final states never change. Anything else, "never heard of it" included, needs a read barrier (invariant
   // 9).
   const auto now_known = jobs_.find(id);
-  if (now_known != jobs_.end() && now_known->second.phase != JobPhase::accepted)
-    return done(true, &now_known->second);
+  if (now_known != jobs_.end() && over(id, now_known->second)) return done(true, &now_known->second);
   store_.tell(state::Sync{guard([this, id, done = std::move(done)](bool fine) mutable {
     if (!fine) return done(false, nullptr);
     // On the next turn, when the changes that the barrier published have been taken in.
     loop().post(guard([this, id, done = std::move(done)] {
       const auto found = jobs_.find(id);
+      // A job that it waits for may have been cancelled long ago: not known is not "no".
+      if (found != jobs_.end() && waits_.in_doubt(id)) return done(false, nullptr);
       if (found != jobs_.end()) return done(true, &found->second);
       if (!forgot_some_) return done(true, nullptr);
       store_.tell(state::Fetch{
           wire::job_key(id), guard([this, id, done](bool known, std::optional<state::Entry> entry) {
             if (!known) return done(false, nullptr);
             if (!entry) return done(true, nullptr);
-            learn(id, *entry);
+            learn_final(id, *entry);
             const auto fetched = jobs_.find(id);
             done(fetched != jobs_.end(), fetched != jobs_.end() ? &fetched->second : nullptr);
           })});
@@ -130,8 +226,12 @@
 
 Response Gateway::describe(const JobId& id, const Known& known) const {
   Json body{{"uid", id.value}};
-  switch (known.phase) {
+  switch (waits_.cancelled(id) ? JobPhase::cancelled : known.phase) {
     case JobPhase::accepted:
+      if (!waits_.released(id)) {
+        describe_waiting(id, body);
+        break;
+      }
       body["phase"] = known.progress.running > 0 ? "running" : "queued";
       body["done"] = known.progress.done;
       body["running"] = known.progress.running;
@@ -151,6 +251,32 @@
   return {200, body.dump(), std::nullopt};
 }
 
+// What it waits for, and why the job where its pipeline stands is not done.
+void Gateway::describe_waiting(const JobId& id, Json& body) const {
+  std::size_t count = 0;
+  const auto open = waits_.open_needs(id, kNamed, count);
+  body["phase"] = "queued";
+  body["done"] = body["running"] = 0;
+  body["waits_on"] = Json::array();
+  for (const auto& need : open) body["waits_on"].push_back(need.value);
+  std::string reason = "waits for " + (open.empty() ? "others" : open.front().value);
+  if (count > 1) reason += " and " + std::to_string(count - 1) + " more";
+  for (std::size_t i = 0; i < std::min(open.size(), kLookedAt); ++i) {
+    auto at = open[i];
+    for (int step = 0; step < kStepsUp && !waits_.released(at); ++step) {
+      std::size_t more = 0;
+      const auto next = waits_.open_needs(at, 1, more);
+      if (next.empty()) break;
+      at = next.front();
+    }
+    const auto found = jobs_.find(at);
+    if (found == jobs_.end() || found->second.progress.reason.empty()) continue;
+    reason += "; " + at.value + ": " + found->second.progress.reason;
+    break;
+  }
+  body["reason"] = std::move(reason);
+}
+
 // This node cannot serve the call: a sibling with the state service may. Otherwise the user is told at
 // once when to come back.
 void Gateway::unable(const CallPtr& call) {
@@ -172,39 +298,102 @@
   if (!state_ok()) return unable(call);
   const auto known = jobs_.find(spec.uid);
   if (known != jobs_.end()) return answer_known(call, spec.uid);
-  const auto reason = refusal(spec, teams_, flavors_);
-  if (!reason) return accept(call, spec);
+  const auto reason = refused(spec);
+  if (!reason && spec.waits_on.empty()) return accept(call, spec);
+  if (!reason) return check_waits(call, spec);
   // A job accepted before is answered with its state before any such check.
   look_up(spec.uid, guard([this, call, uid = spec.uid, reason](bool fine, const Known* found) {
             if (!fine) return unable(call);
             if (found != nullptr) return call->reply(describe(uid, *found));
             if (flavors_.empty()) return call->reply({503, "{}", kRetryAfterS});
-            call->reply(error(422, *reason));
+            call->reply(*reason);
           }));
 }
 
+// The answer to what can never be accepted.
+std::optional<Response> Gateway::refused(const wire::JobSpec& spec) const {
+  if (const auto reason = refusal(spec, teams_, flavors_)) return error(422, *reason);
+  if (stored(spec).empty()) return too_long();
+  return std::nullopt;
+}
+
+wire::KeyedValues Gateway::stored(const wire::JobSpec& spec) const {
+  return wire::stored_job({spec, JobPhase::accepted, loop().wall(), 0, 0}, value_bytes(),
+                          store_.limits().txn_ops);
+}
+
+std::size_t Gateway::value_bytes() const { return wire::usable_bytes(store_.limits().value_kb); }
+
+// Users name only jobs that were accepted, by any node and at any time: one that is not known here is looked
+// for as freshly as the job itself.
+void Gateway::check_waits(const CallPtr& call, const wire::JobSpec& spec) {
+  std::optional<JobId> missing;
+  for (; call->checked < spec.waits_on.size(); ++call->checked) {
+    const auto& need = spec.waits_on[call->checked];
+    const auto known = jobs_.find(need);
+    if (known == jobs_.end() && !waits_.accepted(need)) {
+      missing = need;
+      break;
+    }
+    if (known != jobs_.end() && known->second.service) break;
+  }
+  if (call->checked == spec.waits_on.size()) return accept(call, spec);
+  const bool service = !missing;
+  const auto refuse = [this, call, spec, service] {
+    // A retry of an accepted job is answered with its state whatever it names.
+    look_up(spec.uid, guard([this, call, spec, service](bool fine, const Known* found) {
+              if (!fine) return unable(call);
+              if (found != nullptr) return call->reply(describe(spec.uid, *found));
+              const auto& need = spec.waits_on[call->checked].value;
+              call->reply(error(
+                  422, service ? need + " is a service, which is never done" : need + " was never accepted"));
+            }));
+  };
+  if (service) return refuse();
+  look_up(*missing, guard([this, call, spec, refuse](bool fine, const Known* found) {
+    if (!fine) return unable(call);
+    if (found == nullptr) return refuse();
+    if (!found->service) ++call->checked;  // fetched, it may leave memory again before the next look
+    check_waits(call, spec);
+  }));
+}
+
 void Gateway::accept(const CallPtr& call, const wire::JobSpec& spec) {
   state::Transaction transaction;
   transaction.when = {{wire::job_key(spec.uid), wire::Stamp{0}}};
-  transaction.writes = {{wire::job_key(spec.uid),
-                         to_json(wire::JobRecord{spec, JobPhase::accepted, loop().wall()}), std::nullopt}};
-  store_.tell(
-      state::Commit{std::move(transaction), guard([this, call, spec](state::CommitResult result) {
-                      switch (result.outcome) {
-                        case Outcome::done:
-                          log_->debug("job {}: accepted", spec.uid.value);
-                          return call->reply(
-                              {201, Json{{"uid", spec.uid.value}, {"phase", "queued"}}.dump(), std::nullopt});
-                        case Outcome::conflict:
-                          return answer_known(call, spec.uid);
-                        case Outcome::refused:
-                          return unable(call);
-                        case Outcome::unknown:
-                          // Repeating it tells: a conflict means that it was applied.
-                          if (++call->tries < 2) return accept(call, spec);
-                          return unable(call);
-                      }
-                    })});
+  for (auto& [key, value] : stored(spec))
+    transaction.writes.push_back({std::move(key), std::move(value), std::nullopt});
+  if (transaction.writes.empty()) return call->reply(too_long());
+  store_.tell(state::Commit{
+      std::move(transaction), guard([this, call, spec](state::CommitResult result) {
+        switch (result.outcome) {
+          case Outcome::done:
+            log_->debug("job {}: accepted", spec.uid.value);
+            return call->reply(
+                {201,
+                 Json{{"uid", spec.uid.value}, {"phase", needs_cancelled(spec) ? "cancelled" : "queued"}}
+                     .dump(),
+                 std::nullopt});
+          case Outcome::malformed:
+            // The service's limits are below those announced.
+            return call->reply(too_long());
+          case Outcome::conflict:
+            return answer_known(call, spec.uid);
+          case Outcome::refused:
+            return unable(call);
+          case Outcome::unknown:
+            // Repeating it tells: a conflict means that it was applied.
+            if (++call->tries < 2) return accept(call, spec);
+            return unable(call);
+        }
+      })});
+}
+
+bool Gateway::needs_cancelled(const wire::JobSpec& spec) const {
+  return std::any_of(spec.waits_on.begin(), spec.waits_on.end(), [this](const JobId& need) {
+    const auto known = jobs_.find(need);
+    return waits_.cancelled(need) || (known != jobs_.end() && known->second.phase == JobPhase::cancelled);
+  });
 }
 
 void Gateway::answer_known(const CallPtr& call, const JobId& id) {
@@ -216,7 +405,7 @@
 
 void Gateway::status(const CallPtr& call, const JobId& id) {
   const auto known = jobs_.find(id);
-  const bool is_final = known != jobs_.end() && known->second.phase != JobPhase::accepted;
+  const bool is_final = known != jobs_.end() && over(id, known->second);
   if (!is_final && !state_ok()) return unable(call);
   look_up(id, guard([this, call, id](bool fine, const Known* found) {
             if (!fine) return unable(call);
@@ -227,24 +416,26 @@
 
 void Gateway::withdraw(const CallPtr& call, const JobId& id) {
   if (++call->tries > kTries) return call->reply({503, "{}", kRetryAfterS});
-  look_up(id, guard([this, call, id](bool fine, const Known* found) {
-            if (!fine) return unable(call);
-            if (found == nullptr) return call->reply(error(404, "no such job"));
-            if (found->phase != JobPhase::accepted) return call->reply(describe(id, *found));
-            auto record = *found->record;
-            record.phase = JobPhase::cancelled;
-            state::Transaction transaction;
-            // Invariant 8: done and cancelled race for this stamp.
-            transaction.when = {{wire::job_key(id), found->stamp}};
-            transaction.writes = {{wire::job_key(id), to_json(record), std::nullopt}};
-            store_.tell(state::Commit{
-                std::move(transaction), guard([this, call, id](state::CommitResult result) {
-                  if (result.outcome == Outcome::refused) return unable(call);
-                  if (result.outcome != Outcome::done) return withdraw(call, id);
-                  log_->info("job {}: cancelled", id.value);
-                  call->reply({200, Json{{"uid", id.value}, {"phase", "cancelled"}}.dump(), std::nullopt});
-                })});
-          }));
+  look_up(
+      id, guard([this, call, id](bool fine, const Known* found) {
+        if (!fine) return unable(call);
+        if (found == nullptr) return call->reply(error(404, "no such job"));
+        if (over(id, *found)) return call->reply(describe(id, *found));
+        state::Transaction transaction;
+        // Invariant 8: done and cancelled race for this stamp.
+        transaction.when = {{wire::job_key(id), found->stamp}};
+        transaction.writes = {{wire::job_key(id),
+                               final_json(*found->record, JobPhase::cancelled, loop().wall(), value_bytes()),
+                               std::nullopt}};
+        store_.tell(state::Commit{
+            std::move(transaction), guard([this, call, id](state::CommitResult result) {
+              if (result.outcome == Outcome::refused || result.outcome == Outcome::malformed)
+                return unable(call);
+              if (result.outcome != Outcome::done) return withdraw(call, id);
+              log_->info("job {}: cancelled", id.value);
+              call->reply({200, Json{{"uid", id.value}, {"phase", "cancelled"}}.dump(), std::nullopt});
+            })});
+      }));
 }
 
 }  // namespace bankhill::gateway
--- a/src/gateway/gateway.hpp
+++ b/src/gateway/gateway.hpp
@@ -7,10 +7,12 @@
 #include <map>
 #include <memory>
 #include <optional>
+#include <set>
 #include <string>
 #include <vector>
 
 #include "gateway/admission.hpp"
+#include "model/waits.hpp"
 #include "net/http.hpp"
 #include "net/relay.hpp"
 #include "runtime/actor.hpp"
@@ -50,6 +52,7 @@
     wire::JobPhase phase = wire::JobPhase::accepted;
     wire::Stamp stamp;
     std::uint32_t members = 0;
+    bool service = false;
     std::optional<wire::JobRecord> record;  // of live jobs
     wire::Progress progress;
   };
@@ -58,19 +61,32 @@
     net::Reply reply;
     bool relayed = false;
     int tries = 0;
+    std::size_t checked = 0;  // of the jobs that a submission waits for: known to have been accepted
   };
   using CallPtr = std::shared_ptr<Call>;
 
   void learn(const wire::JobId& id, const state::Entry& entry);
+  void add_waits(const wire::JobId& id, wire::JobRecord& record, wire::Stamp stamp);
+  void ask_unknown();
+  void learn_final(const wire::JobId& id, const state::Entry& entry);
+  void forget_old();
+  // Over for good: by its record, or with a job that it waits for (invariant 14).
+  bool over(const wire::JobId& id, const Known& known) const;
   // Hands over what is known of the job, at least as new as this call. False: cannot tell.
   void look_up(const wire::JobId& id, std::function<void(bool, const Known*)> done);
   void submit(const CallPtr& call);
+  std::optional<net::Response> refused(const wire::JobSpec& spec) const;
+  std::size_t value_bytes() const;
+  wire::KeyedValues stored(const wire::JobSpec& spec) const;
+  bool needs_cancelled(const wire::JobSpec& spec) const;
+  void check_waits(const CallPtr& call, const wire::JobSpec& spec);
   void accept(const CallPtr& call, const wire::JobSpec& spec);
   void answer_known(const CallPtr& call, const wire::JobId& id);
   void status(const CallPtr& call, const wire::JobId& id);
   void withdraw(const CallPtr& call, const wire::JobId& id);
   void unable(const CallPtr& call);
   net::Response describe(const wire::JobId& id, const Known& known) const;
+  void describe_waiting(const wire::JobId& id, wire::Json& body) const;
 
   runtime::Log log_;
   state::Store& store_;
@@ -79,6 +95,11 @@
   std::size_t final_states_kept_;
   std::vector<wire::Flavor> flavors_;
   std::map<wire::JobId, Known> jobs_;
+  model::Waits waits_;
+  wire::CatalogueReader catalogue_;
+  std::map<std::string, wire::Json> waits_parts_;  // by key
+  std::set<wire::JobId> asking_for_;               // records of jobs that are named and not known
+  runtime::Timer ask_timer_;
   std::deque<wire::JobId> final_order_;
   bool forgot_some_ = false;
 };
--- a/src/leader/fleet.cpp
+++ b/src/leader/fleet.cpp
@@ -88,7 +88,7 @@
   std::map<std::string, double> cores;
   for (const auto& [id, pointer] : live_) {
     const auto& job = *pointer;
-    if (loop().now() < job.blocked_until) continue;
+    if (!job.released || loop().now() < job.blocked_until) continue;
     planner::Work item;
     item.need = job.spec.need;
     item.tasks = job.unfinished();
--- a/src/leader/leader.cpp
+++ b/src/leader/leader.cpp
@@ -26,7 +26,10 @@
 }  // namespace
 
 Leader::Leader(runtime::Loop& loop, runtime::Log log, Settings settings, Ports ports)
-    : Actor(loop), log_(std::move(log)), settings_(std::move(settings)), ports_(std::move(ports)) {}
+    : Actor(loop), log_(std::move(log)), settings_(std::move(settings)), ports_(std::move(ports)) {
+  value_bytes_ = wire::usable_bytes(settings_.value_kb);
+  most_writes_ = settings_.txn_ops;
+}
 
 void Leader::start() {
   last_tick_ = loop().now();
@@ -58,14 +61,15 @@
 bool Leader::valid() const { return reigning_ && loop().now() < valid_until_ && !deaf(); }
 
 void Leader::on(Changed& message) {
+  // Jobs last: what they wait for may stand under further keys of the same transaction.
   for (const auto& change : *message.changes) {
-    if (has_prefix(change.key, wire::kJobs)) {
-      learn_job(change);
-      continue;
-    }
-    if (!view_.apply(change)) continue;
-    if (change.key == wire::kCatalogueKey && change.data) flavors_ = wire::parse_flavors(*change.data);
+    if (has_prefix(change.key, wire::kJobs) || !view_.apply(change)) continue;
+    if (auto flavors = catalogue_.learn(change.key, change.data)) flavors_ = std::move(*flavors);
   }
+  for (const auto& change : *message.changes)
+    if (has_prefix(change.key, wire::kJobs)) learn_job(change);
+  take_waits_news();
+  drop_final();
   const auto* leader = view_.find(wire::kLeaderKey);
   const auto* term = view_.find(wire::kTermKey);
   const bool ours = leader != nullptr && term != nullptr && hold_ != 0 &&
@@ -107,7 +111,11 @@
   tries_ = rentals_made_ = 0;
   forget_reign();
   for (auto& [id, job] : live_) lead_job(*job);
+  to_cancel_.clear();
+  for (const auto& [id, job] : jobs_)
+    if (job.abandoned && !job.over()) to_cancel_.push_back(id);
   adopt_records();
+  tidy_waits();
   settle_rentals();
   log_->info("leader: begin reign, term {}, {} live jobs, {} machines, {} rentals", term_, live_.size(),
              fleet_.size(), rentals_.size());
@@ -157,8 +165,15 @@
       auto& group = groups_[name];
       group.pool = {record.flavor, record.rack_room, record.reclaimable};
       group.single = !wire::absent(entry.data, "address");
+      bool twice = false;
       for (const auto& [host, address] : record.hosts) {
-        auto& machine = *fleet_.add(host).first;
+        const auto [entry_of, added] = fleet_.add(host);
+        auto& machine = *entry_of;
+        // A part of a group was being moved to another (move_excess): one of the two is enough.
+        if (!added) {
+          twice = true;
+          continue;
+        }
         machine.address = address;
         machine.flavor = record.flavor;
         machine.rack_room = record.rack_room;
@@ -172,6 +187,10 @@
         group.bytes += wire::group_bytes(host, address);
         inherited.push_back(&machine);
       }
+      if (twice) {
+        drop_if_empty(key);
+        store_group(name, Patience::tidying);
+      }
     } else if (has_prefix(key, wire::kRentals)) {
       rentals_[key.substr(wire::kRentals.size())].record = wire::parse_rental_record(entry.data);
     } else if (has_prefix(key, wire::kFinished)) {
@@ -189,6 +208,7 @@
   const auto record = wire::parse_finished_bucket(name, data);
   const bool single = data.is_string();  // of version 0.1
   std::uint64_t moved_to = 0;
+  bool twice = false;
   for (const auto& [id, hex] : record) {
     const auto found = live_.find(id.job);
     if (found == live_.end()) continue;
@@ -200,7 +220,11 @@
       moved_to = bucket_for(job, id.chunk);
       continue;
     }
-    // Never held by an open bucket of another name: a chunk has one home.
+    // A chunk has one home: of two, while some were being moved (move_excess), the first.
+    if (job.buckets.contains(id.chunk)) {
+      twice = true;
+      continue;
+    }
     const auto number = std::stoull(name);
     auto& bucket = buckets_[number];
     bucket.chunks.insert(id);
@@ -209,8 +233,8 @@
   }
   if (moved_to != 0)
     store_bucket(moved_to, Patience::exits, [this, key] { store(key, std::nullopt, Patience::tidying); });
-  else if (single || !buckets_.contains(std::stoull(name)))
-    store(key, std::nullopt, Patience::tidying);  // its jobs are over
+  else if (twice || single || !buckets_.contains(std::stoull(name)))
+    store(key, std::nullopt, Patience::tidying);  // its jobs are over, or some of it stands elsewhere
 }
 
 // Invariant 5: all inherited machines are asked directly, not all at once: an answer costs time and a socket,
@@ -235,14 +259,18 @@
   auto& job = jobs_[id];
   if (change.stamp <= job.stamp) return;
   const bool known = job.stamp.value != 0;
+  const bool was_live = !known || job.live();
   auto record = wire::parse_job_record(*change.data);
   job.stamp = change.stamp;
-  const bool was_live = !known || job.live();
   job.phase = record.phase;
   job.accepted_at = record.accepted_at;
   if (!known) {
+    job.ready_at = job.accepted_at;
+    job.ready_stamp = job.stamp;
     job.spec = std::move(record.spec);
+    job.waits_parts = record.waits_parts;
     if (job.live()) live_.emplace(id, &job);
+    if (job.live() && (!job.spec.waits_on.empty() || job.waits_parts > 0)) add_waits(job);
     // Services that are over count too: a new leader knows from the first how many come.
     if (job.service()) {
       const double cores = job.spec.need.cores * job.spec.members;
@@ -257,24 +285,31 @@
       plan_soon();
     }
   }
-  if (was_live && !job.live()) {
-    live_.erase(id);
-    ready_.erase(id);
-    if (reigning_) {
-      stop_all(job);
-      leave_buckets(job);
-      plan_soon();
-    }
-    // A final job needs no marks; its specification stays for tasks still to be stopped.
-    job.marks.clear();
-    job.marks.shrink_to_fit();
-    job.failed_on.clear();
-    job.ready = job.bound = 0;
+  job.ended_at = record.ended_at;
+  waits_.learn(id, fact(job));
+  if (was_live && !job.live()) leave_live(job);
+  if (job.over()) {
+    if (job.waits_parts > 0 && reigning_) drop_waits_parts(id, job.waits_parts);
     final_order_.push_back(id);
-    drop_final();
   }
 }
 
+// It is over, or will never start.
+void Leader::leave_live(Job& job) {
+  live_.erase(job.spec.uid);
+  ready_.erase(job.spec.uid);
+  if (reigning_) {
+    stop_all(job);
+    leave_buckets(job);
+    plan_soon();
+  }
+  // It needs no marks any more; its specification stays for tasks still to be stopped.
+  job.marks.clear();
+  job.marks.shrink_to_fit();
+  job.failed_on.clear();
+  job.ready = job.bound = 0;
+}
+
 // Memory is bounded: a job that was over long ago is dropped once no task of it is left. Should one turn up
 // all the same, it is stopped like any that has no business there.
 void Leader::drop_final() {
@@ -292,7 +327,7 @@
 }
 
 void Leader::note(Job& job) {
-  if (job.live() && job.ready > 0)
+  if (job.live() && job.released && job.ready > 0)
     ready_.emplace(job.spec.uid, &job);
   else
     ready_.erase(job.spec.uid);
@@ -320,6 +355,7 @@
   tick_timer_ = loop().after(kTickS, guard([this] { tick(); }));
   const double now = loop().now();
   const double passed = now - std::exchange(last_tick_, now);
+  ask_unknown();
   if (!reigning_) return;
   if (now >= next_sync_) {
     next_sync_ = now + kSyncS;
@@ -344,6 +380,7 @@
   if (now >= next_progress_) publish_progress();
   if (now >= next_summary_) summarize();
   check_reach();
+  write_cancelled();
   send_releases();
   flush();
 }
@@ -410,7 +447,12 @@
       fleet_.refresh(machine);
     }
     // Kept in the state service too: a restart during a cloud outage can still decide.
-    store(wire::kCatalogueKey, to_json(flavors_), Patience::tidying);
+    const auto values = wire::stored_catalogue(flavors_, value_bytes_, (first_term_ << 20) + ++records_made_);
+    for (const auto& [key, value] : values) store(key, value, Patience::tidying);
+    // Parts that are no longer of it.
+    for (auto entry = view_.entries().lower_bound(wire::kCatalogueParts);
+         entry != view_.entries().end() && has_prefix(entry->first, wire::kCatalogueParts); ++entry)
+      if (!intents_.contains(entry->first)) store(entry->first, std::nullopt, Patience::tidying);
     if (first) {
       plan_soon();
       place_soon();
--- a/src/leader/leader.hpp
+++ b/src/leader/leader.hpp
@@ -14,6 +14,7 @@
 #include "cloud/cloud.hpp"
 #include "model/fleet.hpp"
 #include "model/job.hpp"
+#include "model/waits.hpp"
 #include "net/http.hpp"
 #include "planner/planner.hpp"
 #include "runtime/actor.hpp"
@@ -104,16 +105,20 @@
   using Batch = std::map<std::string, Intent>;
   // How long a write may wait for others to join it: what tasks or users wait for goes first, and since
   // what waits longest comes first nothing is starved.
-  enum class Patience { none, machines, exits, removal, tidying };
-  struct Group {  // machines recorded under one key
+  enum class Patience { awaited, none, machines, exits, removal, tidying };
+  struct Shared {  // a key that many share
+    std::size_t bytes = 0;
+    // A part of it is being written under other keys: until that is committed this one is not written.
+    bool moving = false;
+    std::vector<Then> held;  // wait for its next write
+  };
+  struct Group : Shared {  // machines recorded under one key
     model::Pool pool;
     std::set<wire::HostId> hosts;
-    std::size_t bytes = 0;
     bool single = false;  // of version 0.1, holds one machine for good
   };
-  struct Bucket {  // finished tasks stored under one key
+  struct Bucket : Shared {  // finished tasks stored under one key
     std::set<wire::ChunkId> chunks;
-    std::size_t bytes = 0;
   };
   struct Awaiting {  // a report whose answer waits for the placement under way
     wire::HostId host;
@@ -147,6 +152,20 @@
   void begin_reign();
   void end_reign();
   void learn_job(const state::Change& change);
+  // Waiting jobs (pipelines.cpp)
+  model::JobFact fact(const model::Job& job) const;
+  model::JobFact look_up(const wire::JobId& id) const;
+  void add_waits(model::Job& job);
+  void leave_live(model::Job& job);
+  void take_waits_news();
+  void ask_unknown();
+  void release_job(model::Job& job);
+  void end_unstarted(model::Job& job);
+  void write_cancelled();
+  wire::JobRecord record_of(const model::Job& job) const;
+  void drop_waits_parts(const wire::JobId& id, std::uint32_t parts);
+  void tidy_waits();
+  wire::Rank rank(const model::Job& job) const;
   void lead_job(model::Job& job);
   void note(model::Job& job);  // after its ready tasks changed
   void drop_final();
@@ -170,11 +189,20 @@
   void store_bucket(std::uint64_t bucket, Patience patience, Then then = {});
   double patience_s(Patience patience) const;
   void render(const std::string& key, Intent& intent) const;
+  Intent take(const std::string& key);
+  std::size_t shared_bytes() const;
+  bool drop_if_empty(const std::string& key);
+  bool make_fit(const std::string& key);
+  bool move_excess(const std::string& key);
+  Shared* shared(const std::string& key);
+  void malformed(Batch batch);
   void flush_soon();
   void flush();
   void committed(Batch batch, wire::Epoch epoch);
   void resolve(Batch batch);
   std::uint64_t bucket_for(model::Job& job, std::uint32_t chunk);
+  std::uint64_t open_bucket(const wire::ChunkId& id, std::size_t size);
+  void open_group(model::Machine& machine);
   void leave_buckets(model::Job& job);
 
   // Machines and their reports (reports.cpp)
@@ -255,7 +283,12 @@
   Ports ports_;
 
   state::View view_;  // all but jobs
+  wire::CatalogueReader catalogue_;
   Jobs jobs_;
+  model::Waits waits_;
+  std::set<wire::JobId> asking_for_;  // records of jobs that are named and not known
+  std::deque<wire::JobId>
+      to_cancel_;  // never started, cancelled with one they need: not yet in their records
   std::map<wire::JobId, model::Job*> live_;
   std::map<wire::JobId, model::Job*> ready_;  // live with tasks to place
   std::deque<wire::JobId> final_order_;
@@ -308,6 +341,9 @@
   Boots boots_;
   Batch intents_;
   std::set<std::pair<double, std::string>> due_;  // the keys of intents_ by when they are due
+  std::size_t value_bytes_ = 0;                   // that a value may take, less once one was refused
+  std::size_t most_writes_ = 0;                   // in a transaction, fewer for a while once one was refused
+  std::size_t calm_ = 0;                          // transactions since then
   bool committing_ = false;
   bool flush_scheduled_ = false;
   bool raising_ = false;
--- a/src/leader/placement.cpp
+++ b/src/leader/placement.cpp
@@ -43,15 +43,20 @@
 
 // Time left until the first of the job's deadlines that it can still meet; infinite if there is none.
 double Leader::due_in(const Job& job) const {
-  const double waited = loop().wall() - job.accepted_at;
   const double least = kHopeful * task_s(job);
-  if (job.spec.due_s) {
+  // The deadline of a pipeline stands on its last job, and counts from that one's submission.
+  const auto goal = waits_.goal(job.spec.uid);
+  const auto found = goal.last.value.empty() ? jobs_.end() : jobs_.find(goal.last);
+  const auto& last = found == jobs_.end() ? job : found->second;
+  if (last.spec.due_s) {
+    const double passed = loop().wall() - last.accepted_at + goal.rest_s;
     static const std::vector<double> kOnce{1.0};
-    const auto times = settings_.deadline_times.find(job.spec.queue);
+    const auto times = settings_.deadline_times.find(last.spec.queue);
     for (const double multiple : times == settings_.deadline_times.end() ? kOnce : times->second)
-      if (*job.spec.due_s * multiple - waited >= least) return *job.spec.due_s * multiple - waited;
+      if (*last.spec.due_s * multiple - passed >= least) return *last.spec.due_s * multiple - passed;
     return std::numeric_limits<double>::infinity();
   }
+  const double waited = loop().wall() - job.ready_at;
   if (const auto within = settings_.within_s.find(job.spec.queue); within != settings_.within_s.end())
     for (const double time : within->second)
       if (time - waited >= least) return time - waited;
@@ -68,14 +73,14 @@
 
 // Invariant 5: what an earlier leader may have started waits until no unconfirmed machine could hold it.
 bool Leader::unconfirmed_could_hold(const Job& job) const {
-  if (job.stamp > won_ || fleet_.total().unconfirmed == 0) return false;
+  if (job.ready_stamp > won_ || fleet_.total().unconfirmed == 0) return false;
   return std::any_of(fleet_.pools().begin(), fleet_.pools().end(), [&](const auto& entry) {
     return entry.second.sums.unconfirmed > 0 && model::allows(job.spec, entry.first);
   });
 }
 
 bool Leader::may_start(const Job& job) const {
-  if (!job.live() || job.ready == 0 || loop().now() < job.blocked_until) return false;
+  if (!job.live() || !job.released || job.ready == 0 || loop().now() < job.blocked_until) return false;
   return !job.on_trial() && !unconfirmed_could_hold(job);
 }
 
@@ -107,7 +112,7 @@
   if (spec.rack_room && *spec.rack_room != zone) return false;
   if (!spec.together && !spec.scatter) return true;
   // Invariant 5: tasks of an unconfirmed machine are not known.
-  if (job.stamp <= won_ && fleet_.total().unconfirmed > 0) return false;
+  if (job.ready_stamp <= won_ && fleet_.total().unconfirmed > 0) return false;
   const auto found = job.zones.find(zone);
   const std::uint32_t here = found == job.zones.end() ? 0 : found->second;
   if (spec.together && job.where.size() > here) return false;
@@ -153,7 +158,7 @@
   bind.member = {job.spec.uid, index};
   bind.try_no = wire::TryNo{(term_ << kTryBits) + ++tries_};
   bind.owner = job.spec.owner;
-  bind.rank = job.spec.rank;
+  bind.rank = rank(job);
   bind.service = job.service();
   bind.need = job.spec.need;
   bind.tenure = machine.tenure;
@@ -194,7 +199,7 @@
     // A faulty job holds neither its deadline's rank nor its team's guarantee against good ones.
     const bool borrows = job->faulty || !within_guarantee(*job);
     const double rest = job->faulty ? std::numeric_limits<double>::max() : slack(*job);
-    candidates.push_back({{!job->service(), borrows, rest, job->accepted_at}, job});
+    candidates.push_back({{!job->service(), borrows, rest, job->ready_at}, job});
   }
   std::sort(candidates.begin(), candidates.end(),
             [](const Candidate& a, const Candidate& b) { return a.order < b.order; });
@@ -284,15 +289,16 @@
     return now - job.made_room_at < kRoomComes * settings_.pace_s && (!with_image || job.room_has_image);
   // Stopped work is mostly lost, and borrowed room comes back by itself as tasks end: taken back by force
   // is only what long tasks would not give back soon, when a whole round has not brought enough.
-  const bool guaranteed = within_guarantee(job) && loop().wall() - job.accepted_at > settings_.round_s &&
+  const bool guaranteed = within_guarantee(job) && loop().wall() - job.ready_at > settings_.round_s &&
                           std::any_of(settings_.teams.begin(), settings_.teams.end(), [&](const Team& other) {
                             const auto used = usage_.find(other.name);
                             return other.name != job.spec.owner && used != usage_.end() &&
                                    used->second.used.cores > other.guarantee.cores + kRounding;
                           });
   double lower_cores = 0;
-  for (std::size_t rank = 0; rank < static_cast<std::size_t>(job.spec.rank); ++rank)
-    lower_cores += cores_by_rank_.at(rank);
+  const auto own_rank = rank(job);
+  for (std::size_t below = 0; below < static_cast<std::size_t>(own_rank); ++below)
+    lower_cores += cores_by_rank_.at(below);
   if (!guaranteed && lower_cores < kRounding) return false;
   Machine* best = nullptr;
   std::vector<wire::MemberId> best_victims;
@@ -313,7 +319,7 @@
       const auto other = jobs_.find(member.job);
       if (other == jobs_.end() || bind.owner.empty()) continue;
       const auto* owner = team(bind.owner);
-      const bool lower = other->second.spec.rank < job.spec.rank;
+      const bool lower = rank(other->second) < own_rank;
       // A team's services count towards its guarantee first: it is its batches that borrow. Stopped for
       // that, services were down all day while their team's batches went on (lakaskalk-grown).
       const auto& usage = usage_[bind.owner];
--- a/src/leader/reports.cpp
+++ b/src/leader/reports.cpp
@@ -214,7 +214,7 @@
   bind.stopping = bind.alien;
   if (known) {
     bind.owner = job->second.spec.owner;
-    bind.rank = job->second.spec.rank;
+    bind.rank = rank(job->second);
     bind.service = job->second.service();
     bind.need = job->second.spec.need;
   } else {
@@ -358,8 +358,8 @@
               job.spec.guess_s);
   ++tally_["jobs done"];
   store(wire::job_key(job.spec.uid),
-        to_json(wire::JobRecord{job.spec, wire::JobPhase::done, job.accepted_at}), Patience::none,
-        std::move(then));
+        final_json(record_of(job), wire::JobPhase::done, loop().wall(), value_bytes_),
+        waits_.awaited(job.spec.uid) ? Patience::awaited : Patience::none, std::move(then));
 }
 
 void Leader::stop(Machine& machine, Bind& bind, double wind_down_s) {
--- a/src/model/job.hpp
+++ b/src/model/job.hpp
@@ -17,8 +17,17 @@
   wire::JobSpec spec;
   wire::JobPhase phase = wire::JobPhase::accepted;
   double accepted_at = 0;  // time of day
+  double ended_at = 0;     // time of day; 0: not over, or not known
   wire::Stamp stamp;
 
+  // Of a job that waits for others (model/waits.hpp).
+  bool released = true;           // all of them are done
+  bool abandoned = false;         // one of them is cancelled: it never starts, whatever its record still says
+  double ready_at = 0;            // time of day from when its waiting counts: its acceptance or its release
+  std::uint32_t waits_parts = 0;  // further keys that hold what it waits for
+  wire::Stamp
+      ready_stamp;  // what was accepted or released later than a reign began no earlier leader started
+
   std::vector<char> marks;  // a Mark for each task; empty until led
   std::uint32_t ready = 0;
   std::uint32_t bound = 0;
@@ -40,7 +49,8 @@
   std::string reason;           // why it waits or what failed, for its owner
   bool progress_dirty = true;
 
-  bool live() const { return phase == wire::JobPhase::accepted; }
+  bool over() const { return phase != wire::JobPhase::accepted; }
+  bool live() const { return !over() && !abandoned; }
   bool service() const { return spec.shape == wire::Shape::daemon; }
 
   void reset_marks();
--- /dev/null
+++ b/src/model/waits.hpp
@@ -0,0 +1,110 @@
+// What jobs wait for and who waits for them: the graph of pipelines. Pure: no input, output or clocks.
+//
+// Everything here follows from records that never change back: a job may start once `done` of each job that
+// it names is committed, and it is cancelled as soon as one of them is, since then it can never start.
+// Whoever has read the same records derives the same.
+#pragma once
+
+#include <functional>
+#include <limits>
+#include <map>
+#include <set>
+#include <string>
+#include <utility>
+#include <vector>
+
+#include "wire/records.hpp"
+
+namespace bankhill::model {
+
+// What the record of a job says, and what its owner asks of it.
+struct JobFact {
+  enum class State { unknown, missing, accepted, done, cancelled };  // missing: no such record
+  State state = State::unknown;
+  wire::Stamp stamp;
+  double ended_at = 0;  // time of day; 0: not known
+  wire::Rank rank = wire::Rank::best_effort;
+  double due_at = std::numeric_limits<double>::infinity();  // time of day
+  double takes_s = 0;                                       // from its release to its end
+};
+
+class Waits {
+ public:
+  using State = JobFact::State;
+  // Of jobs that wait: what has become of them.
+  struct News {
+    std::vector<wire::JobId> released;
+    std::vector<wire::JobId> cancelled;
+  };
+  // For whom a job is needed first.
+  struct Goal {
+    wire::JobId last;  // whose deadline it is; empty: none
+    double due_at = std::numeric_limits<double>::infinity();
+    double rest_s = 0;  // from the end of this job to the end of that one
+    double latest() const { return due_at - rest_s; }
+    bool operator==(const Goal&) const = default;
+  };
+  using LookUp = std::function<JobFact(const wire::JobId&)>;
+
+  // A live job that names others. `look_up` says what the caller knows of them; what it does not know comes
+  // with questions(). `incomplete`: some of what it waits for could not be read: it is never released.
+  void add(const wire::JobId& id, const JobFact& fact, const std::vector<wire::JobId>& needs, bool incomplete,
+           const LookUp& look_up);
+  // A record of any job was read. Costs a look if nobody waits for it.
+  void learn(const wire::JobId& id, const JobFact& fact);
+  // What has changed since the last call.
+  News take_news() { return std::exchange(news_, {}); }
+  // Jobs of which nothing is known, to be read by the caller; each is named once until ask_again().
+  std::vector<wire::JobId> take_questions();
+  void ask_again(const wire::JobId& id);
+
+  // Whether everything that it needs is done.
+  bool released(const wire::JobId& id) const;
+  bool cancelled(const wire::JobId& id) const;
+  // Whether something is still to be read, so that a job that waits may be over without our knowing.
+  bool in_doubt(const wire::JobId& id) const { return unknown_ > 0 && !released(id) && !cancelled(id); }
+  // Whether the graph knows that the job was accepted once.
+  bool accepted(const wire::JobId& id) const;
+  bool awaited(const wire::JobId& id) const;  // by a job that is not over
+  // Jobs accepted or finished later than this no earlier leader has started.
+  wire::Stamp free_since(const wire::JobId& id) const;
+  double free_at(const wire::JobId& id) const;  // time of day; 0: not known
+  // The highest rank among the job and what needs it.
+  wire::Rank rank(const wire::JobId& id, wire::Rank own) const;
+  Goal goal(const wire::JobId& id) const;
+  // Up to `most` jobs that it still waits for directly, and how many there are.
+  std::vector<wire::JobId> open_needs(const wire::JobId& id, std::size_t most, std::size_t& count) const;
+  std::size_t size() const { return nodes_.size(); }
+
+ private:
+  struct Node {
+    JobFact fact;
+    bool cancelled = false;  // it, or one that it needs
+    bool waits = false;      // live and named others when it was accepted
+    std::uint32_t open = 0;  // needs that are not done
+    std::vector<wire::JobId> needs;
+    std::set<wire::JobId> later;  // jobs that need it and are not over
+    wire::Stamp free_since;
+    double free_at = 0;
+    wire::Rank rank = wire::Rank::best_effort;
+    Goal goal;
+  };
+  using Upward = std::set<std::pair<wire::Stamp, wire::JobId>>;
+
+  const Node* find(const wire::JobId& id) const;
+  void done(const Node& node);
+  void cancel(const wire::JobId& id);
+  void detach(const wire::JobId& id, Node& node);
+  void raise(const wire::JobId& id);
+  void lower(Upward upward);
+  bool take_over(Node& node, const Node& later) const;
+  bool weigh(const wire::JobId& id, Node& node) const;
+  void drop_if_idle(const wire::JobId& id);
+
+  std::map<wire::JobId, Node> nodes_;
+  std::size_t unknown_ = 0;
+  News news_;
+  std::vector<wire::JobId> questions_;
+};
+
+}  // namespace bankhill::model
--- a/src/state/store.cpp
+++ b/src/state/store.cpp
@@ -229,10 +229,13 @@
            result.outcome = Outcome::done;
          else if (response.status == 409)
            result.outcome = Outcome::conflict;
+         else if (response.status == 400)
+           result.outcome = Outcome::malformed;
          else if (response.status != 0)
            result.outcome = Outcome::refused;
          if (response.status == 400)
-           log_->error("state: transaction refused as malformed: {}", response.body);
+           log_->warn("state: transaction of {} writes ({}{}) refused as malformed: {}", keys.size(),
+                      keys.empty() ? "" : keys.front(), keys.size() > 1 ? ", ..." : "", response.body);
          if (result.outcome != Outcome::done)  // no change of ours will be seen, or only as another's
            for (const auto& key : keys)
              if (const auto own = own_.find(key); own != own_.end()) own_.erase(own);
--- a/src/state/store.hpp
+++ b/src/state/store.hpp
@@ -42,9 +42,10 @@
 
 enum class Outcome {
   done,
-  conflict,  // a condition failed: nothing was written
-  refused,   // not executed
-  unknown,   // may have been executed, or may still be
+  conflict,   // a condition failed: nothing was written
+  refused,    // not executed
+  malformed,  // not executed, and it will not be as it is: too large, too many writes, or an ended lease
+  unknown,    // may have been executed, or may still be
 };
 
 struct CommitResult {
@@ -91,6 +92,7 @@
   // Seconds since the service last answered usefully.
   double silence() const { return loop().now() - last_ok_; }
   bool synced() const { return synced_; }
+  const Limits& limits() const { return limits_; }
   // Puts that bookkeeping may commit now. Every controller sees every change, so it knows what the others
   // use: nothing of the limit is set aside for controllers that write nothing.
   double writes_to_spare();
--- a/src/wire/messages.cpp
+++ b/src/wire/messages.cpp
@@ -4,6 +4,7 @@
 #include <array>
 #include <cmath>
 #include <limits>
+#include <set>
 #include <string_view>
 #include <utility>
 
@@ -79,6 +80,17 @@
   return list;
 }
 
+std::vector<JobId> jobs_field(const Json& object, const char* name) {
+  std::vector<JobId> jobs;
+  std::set<JobId> seen;
+  for (const auto& text : texts_field(object, name)) {
+    auto id = parse_job_id(text);
+    if (!id) bad(name, "holds something other than job ids");
+    if (seen.insert(*id).second) jobs.push_back(std::move(*id));
+  }
+  return jobs;
+}
+
 MemberId member_field(const Json& object) {
   auto member = parse_member_id(text_field(object, "member"));
   if (!member) bad("member", "has the wrong form");
@@ -186,6 +198,7 @@
   spec.snapshot_every_s = amount_field(object, "snapshot_every_s");
   spec.flush_s = amount_field(object, "flush_s");
   if (!absent(object, "due_s")) spec.due_s = amount_field(object, "due_s");
+  if (!absent(object, "waits_on")) spec.waits_on = jobs_field(object, "waits_on");
   return spec;
 }
 
@@ -208,6 +221,12 @@
   if (spec.flavors) object["flavors"] = *spec.flavors;
   if (spec.rack_room) object["rack_room"] = *spec.rack_room;
   if (spec.due_s) object["due_s"] = *spec.due_s;
+  // Only where it is there: all other jobs look to version 0.2.0 as they always did.
+  if (!spec.waits_on.empty()) {
+    Json list = Json::array();
+    for (const auto& id : spec.waits_on) list.push_back(id.value);
+    object["waits_on"] = std::move(list);
+  }
   return object;
 }
 
--- a/src/wire/messages.hpp
+++ b/src/wire/messages.hpp
@@ -63,6 +63,7 @@
   double snapshot_every_s = 0;
   double flush_s = 0;
   std::optional<double> due_s;
+  std::vector<JobId> waits_on;  // must be done before any task starts; each named once
 };
 
 JobSpec parse_job(const Json& object);
--- a/src/wire/records.cpp
+++ b/src/wire/records.cpp
@@ -1,11 +1,14 @@
 #include "wire/records.hpp"
 
 #include <algorithm>
+#include <sstream>
 
 namespace bankhill::wire {
 
 namespace {
 constexpr std::size_t kJsonOverhead = 8;  // quotes, colon, comma and brackets of one member
+constexpr double kUsable = 0.9;           // of the value limit
+const std::string kJobPrefix = "job-";
 
 ChunkId parse_chunk_id(const std::string& text) {
   const auto member = parse_member_id(text);
@@ -26,8 +29,116 @@
   return "";
 }
 
+std::size_t usable_bytes(double value_kb) { return static_cast<std::size_t>(value_kb * 1024 * kUsable); }
+
+std::size_t stored_bytes(const Json& data) {
+  const auto text = data.dump(-1, ' ', true);
+  return text.size() + static_cast<std::size_t>(std::count_if(text.begin(), text.end(),
+                                                              [](char c) { return c == ',' || c == ':'; }));
+}
+
 Json to_json(const JobRecord& record) {
-  return Json{{"spec", to_json(record.spec)}, {"phase", name_of(record.phase)}, {"at", record.accepted_at}};
+  Json object{{"spec", to_json(record.spec)}, {"phase", name_of(record.phase)}, {"at", record.accepted_at}};
+  if (record.ended_at > 0) object["ended"] = record.ended_at;
+  if (record.waits_parts > 0) {
+    object["waits_parts"] = record.waits_parts;
+    object["spec"].erase("waits_on");
+  }
+  return object;
+}
+
+Json final_json(const JobRecord& record, JobPhase phase, double now, std::size_t value_bytes) {
+  auto ended = record;
+  ended.phase = phase;
+  ended.ended_at = now;
+  ended.waits_parts = 0;
+  auto object = to_json(ended);
+  if (stored_bytes(object) <= value_bytes) return object;
+  ended.spec.waits_on.clear();
+  ended.spec.flavors.reset();
+  ended.spec.rack_room.reset();
+  object = to_json(ended);
+  if (stored_bytes(object) <= value_bytes) return object;
+  // The team stays: tasks still to be stopped count for it.
+  ended.spec.queue = ended.spec.bundle = "-";
+  return to_json(ended);
+}
+
+KeyedValues stored_job(const JobRecord& record, std::size_t value_bytes, std::size_t txn_ops) {
+  const auto key = job_key(record.spec.uid);
+  if (auto whole = to_json(record); stored_bytes(whole) <= value_bytes) return {{key, std::move(whole)}};
+  KeyedValues values{{key, {}}};
+  std::string text;
+  const auto close = [&] {
+    values.emplace_back(waits_key(record.spec.uid, static_cast<std::uint32_t>(values.size() - 1)), text);
+    text.clear();
+  };
+  // Of an id only the digits, as text: half the room of a list.
+  for (const auto& id : record.spec.waits_on) {
+    const auto digits = id.value.substr(kJobPrefix.size());
+    if (!text.empty() && text.size() + digits.size() + kJsonOverhead > value_bytes) close();
+    text += (text.empty() ? "" : " ") + digits;
+  }
+  if (!text.empty()) close();
+  auto split = record;
+  split.waits_parts = static_cast<std::uint32_t>(values.size() - 1);
+  values.front().second = to_json(split);
+  if (values.size() > txn_ops || stored_bytes(values.front().second) > value_bytes) return {};
+  return values;
+}
+
+std::vector<JobId> parse_waits_part(const Json& data) {
+  if (!data.is_string()) throw Malformed("what a job waits for is not text");
+  std::vector<JobId> jobs;
+  std::istringstream words(data.get<std::string>());
+  for (std::string digits; words >> digits;) {
+    auto id = parse_job_id(kJobPrefix + digits);
+    if (!id) throw Malformed("what a job waits for holds something other than jobs");
+    jobs.push_back(std::move(*id));
+  }
+  return jobs;
+}
+
+KeyedValues stored_catalogue(const std::vector<Flavor>& flavors, std::size_t value_bytes,
+                             std::uint64_t generation) {
+  if (auto whole = to_json(flavors); stored_bytes(whole) <= value_bytes)
+    return {{kCatalogueKey, std::move(whole)}};
+  std::vector<std::vector<Flavor>> parts(1);
+  constexpr std::size_t kAround = 64;  // generation and number of parts
+  for (const auto& flavor : flavors) {
+    parts.back().push_back(flavor);
+    if (parts.back().size() == 1 || stored_bytes(to_json(parts.back())) + kAround <= value_bytes) continue;
+    parts.back().pop_back();
+    parts.push_back({flavor});
+  }
+  KeyedValues values;
+  for (std::size_t i = 0; i < parts.size(); ++i) {
+    auto part = to_json(parts[i]);
+    part["generation"] = generation;
+    part["parts"] = parts.size();
+    values.emplace_back(kCatalogueParts + std::to_string(i), std::move(part));
+  }
+  return values;
+}
+
+std::optional<std::vector<Flavor>> CatalogueReader::learn(const std::string& key,
+                                                          const std::optional<Json>& data) {
+  if (key == kCatalogueKey) return data ? std::optional(parse_flavors(*data)) : std::nullopt;
+  if (!key.starts_with(kCatalogueParts)) return std::nullopt;
+  if (!data) {
+    parts_.erase(key);
+    return std::nullopt;
+  }
+  parts_[key] = *data;
+  const auto generation = count_field(*data, "generation");
+  const auto count = count_field(*data, "parts");
+  std::vector<Flavor> flavors;
+  for (std::uint64_t i = 0; i < count; ++i) {
+    const auto part = parts_.find(kCatalogueParts + std::to_string(i));
+    if (part == parts_.end() || count_field(part->second, "generation") != generation) return std::nullopt;
+    for (auto& flavor : parse_flavors(part->second)) flavors.push_back(std::move(flavor));
+  }
+  return flavors;
 }
 
 JobRecord parse_job_record(const Json& object) {
@@ -41,6 +152,9 @@
   else if (phase != "accepted")
     throw Malformed("field 'phase' is not one of its values");
   record.accepted_at = object.at("at").get<double>();
+  if (!absent(object, "ended")) record.ended_at = object.at("ended").get<double>();
+  if (!absent(object, "waits_parts"))
+    record.waits_parts = static_cast<std::uint32_t>(count_field(object, "waits_parts"));
   return record;
 }
 
--- a/src/wire/records.hpp
+++ b/src/wire/records.hpp
@@ -19,12 +19,25 @@
 inline const std::string kMachines = kRoot + "machine/";
 inline const std::string kRentals = kRoot + "rental/";
 inline const std::string kFinished = kRoot + "finished/";
+// Below are keys of version 0.3. Older controllers list and ignore what has none of the prefixes above.
+inline const std::string kWaits = kRoot + "waits/";
+inline const std::string kCatalogueParts = kRoot + "catalogue/";
 
 inline std::string job_key(const JobId& id) { return kJobs + id.value; }
 inline std::string rental_key(const std::string& name) { return kRentals + name; }
 inline std::string machines_key(const std::string& group) { return kMachines + group; }
 inline std::string finished_key(std::uint64_t bucket) { return kFinished + std::to_string(bucket); }
 
+inline std::string waits_key(const JobId& id, std::uint32_t part) {
+  return kWaits + id.value + "/" + std::to_string(part);
+}
+
+// What one value may take: a part of the limit, since the service may write JSON at greater length than we
+// do.
+std::size_t usable_bytes(double value_kb);
+// What a value takes at the most: escaped, with a space after each separator.
+std::size_t stored_bytes(const Json& data);
+
 enum class JobPhase { accepted, done, cancelled };
 const char* name_of(JobPhase phase);
 
@@ -32,9 +45,35 @@
   JobSpec spec;
   JobPhase phase = JobPhase::accepted;
   double accepted_at = 0;  // time of day, seconds
+  double ended_at = 0;     // of final ones; 0: not known (version 0.2.0 does not write it)
+  // Further keys (waits_key) that hold what the job waits for, when that does not fit in here.
+  std::uint32_t waits_parts = 0;
 };
 Json to_json(const JobRecord& record);
 JobRecord parse_job_record(const Json& object);
+// Of a job that is over. What nobody needs any more is left out if it does not fit otherwise: a record
+// written under a larger limit must still be able to end.
+Json final_json(const JobRecord& record, JobPhase phase, double now, std::size_t value_bytes);
+
+// The values that accept a job, written in one transaction: its record first, then further keys for a long
+// list of jobs that it waits for. Empty: it cannot be stored within these limits.
+using KeyedValues = std::vector<std::pair<std::string, Json>>;
+KeyedValues stored_job(const JobRecord& record, std::size_t value_bytes, std::size_t txn_ops);
+// The jobs named in one of the further keys.
+std::vector<JobId> parse_waits_part(const Json& data);
+
+// The catalogue: one key as in version 0.2.0 if it fits, else parts of one generation, which count once all
+// are there. Version 0.2.0 keeps what stands under its own key then.
+KeyedValues stored_catalogue(const std::vector<Flavor>& flavors, std::size_t value_bytes,
+                             std::uint64_t generation);
+class CatalogueReader {
+ public:
+  // Takes a change of any key; the catalogue when this one makes it new and whole.
+  std::optional<std::vector<Flavor>> learn(const std::string& key, const std::optional<Json>& data);
+
+ private:
+  std::map<std::string, Json> parts_;
+};
 
 struct LeaderRecord {
   std::string node;
