--- a/tests/settings_test.cpp
+++ b/tests/settings_test.cpp
@@ -47,6 +47,27 @@
   EXPECT_THROW(parse_settings(some.dump()), BadSettings);
 }
 
+// Limits to come are kept to from the start; each may be missing, and a larger one changes nothing.
+TEST(Settings, TheSmallerOfTheLimitsNowAndNext) {
+  auto some = good();
+  some["params"]["state"]["next"] = {{"value_kb", 2}, {"txn_ops", 40}, {"write_rps", 42.5}};
+  auto settings = parse_settings(some.dump());
+  EXPECT_EQ(settings.state_value_kb, 2);
+  EXPECT_EQ(settings.state_txn_ops, 32U);
+  EXPECT_EQ(settings.state_write_rps, 42.5);
+  EXPECT_EQ(settings.state_rps, 250);
+  for (const auto& next : {wire::Json(nullptr), wire::Json::object()}) {
+    some["params"]["state"]["next"] = next;
+    settings = parse_settings(some.dump());
+    EXPECT_EQ(settings.state_value_kb, 8);
+    EXPECT_EQ(settings.state_write_rps, 60);
+  }
+  some["params"]["state"]["next"] = {{"value_kb", 0}};
+  EXPECT_THROW(parse_settings(some.dump()), BadSettings);
+  some["params"]["state"]["next"] = 7;
+  EXPECT_THROW(parse_settings(some.dump()), BadSettings);
+}
+
 TEST(Settings, ErrorsNameTheField) {
   for (const auto* pointer :
        {"/host_name", "/api_addr", "/external/state", "/params/workers/lease_s", "/params/teams/0/name",
--- a/tests/sim/world.cpp
+++ b/tests/sim/world.cpp
@@ -418,7 +418,10 @@
 }
 
 Response World::commit(const Json& body) {
-  if (too_large(body)) return {400, R"({"error":"too large"})", std::nullopt};
+  if (too_large(body)) {
+    ++too_large_refused;
+    return {400, R"({"error":"too large"})", std::nullopt};
+  }
   for (const auto& write : body["writes"])
     if (write.contains("hold") && !holds_.contains(write["hold"].get<std::uint64_t>()))
       return {400, R"({"error":"no such lease"})", std::nullopt};
@@ -916,6 +919,13 @@
   return uid;
 }
 
+Response World::ask(int node, Request request) {
+  const auto answer = std::make_shared<std::optional<Response>>();
+  to_node(node, std::move(request), [answer](const Response& response) { *answer = response; });
+  for (const double until = now_ + 5; !*answer && now_ < until;) run(now_ + 0.05);
+  return answer->value_or(Response{});
+}
+
 void World::user_submit(const std::string& uid) {
   auto& job = jobs_.at(uid);
   // Users name only what was accepted.
--- a/tests/sim/world.hpp
+++ b/tests/sim/world.hpp
@@ -150,12 +150,14 @@
   // Whether a job that it needs, directly or through others, was called cancelled more than `ago` before
   // `when`.
   bool doomed(const SimJob& job, double when, double ago = 0) const;
+  net::Response ask(int node, net::Request request);  // runs until it is answered, five seconds at most
   void cancel(const std::string& uid) { user_cancel(uid); }
   net::Request report_now(const std::string& host) const;  // what the machine would report
 
   // For the tests of the checker itself.
   void force_start(const wire::MemberId& member, std::size_t machine);
-  std::uint64_t service_stops = 0;  // services stopped by command while nobody had cancelled them
+  std::uint64_t too_large_refused = 0;  // transactions
+  std::uint64_t service_stops = 0;      // services stopped by command while nobody had cancelled them
   std::vector<std::string>& broken() { return broken_; }
   std::map<std::string, SimMachine>& machines() { return machines_; }
   std::map<std::string, SimJob>& jobs() { return jobs_; }
--- a/tests/sim_test.cpp
+++ b/tests/sim_test.cpp
@@ -354,5 +354,296 @@
   expect_all_over(world);
 }
 
+// ---- pipelines
+
+SimJob stage(std::vector<std::string> needs, double run_s = 3, std::uint32_t members = 2) {
+  auto job = small_job(members, 1, run_s);
+  for (auto& need : needs) job.spec.waits_on.push_back({std::move(need)});
+  return job;
+}
+
+wire::Json body_of(const net::Response& response) { return wire::Json::parse(response.body); }
+net::Request submission(const SimJob& job, const std::string& uid) {
+  auto spec = job.spec;
+  spec.uid = {uid};
+  return {net::Method::post, "/submissions", to_json(spec).dump()};
+}
+net::Request poll(const std::string& uid) { return {net::Method::get, "/submissions/" + uid, ""}; }
+
+TEST(Checker, SeesATaskThatStartsTooEarly) {
+  World world(9);
+  world.unchecked_records = true;
+  world.run(5);
+  const auto first = world.submit(stage({}, 300));
+  const auto second = world.submit(stage({first}));
+  world.run(60);
+  ASSERT_TRUE(world.broken().empty());
+  world.force_start({wire::JobId{second}, 0}, 0);
+  world.run(63);
+  EXPECT_TRUE(caught(world, "too_early"));
+}
+
+TEST(Checker, SeesAnOrphanedJob) {
+  World world(9);
+  world.run(5);
+  const auto first = world.submit(stage({}, 300));
+  const auto second = world.submit(stage({first}, 300));
+  world.run(40);
+  // The controllers know nothing of it: they go on calling the second one queued.
+  world.jobs().at(first).told_cancelled = world.now();
+  world.jobs().at(first).cancel_asked = true;
+  world.run(75);
+  EXPECT_FALSE(caught(world, "orphaned")) << "not before cancel_s";
+  world.run(100);
+  EXPECT_TRUE(caught(world, "orphaned"));
+  EXPECT_TRUE(caught(world, "went_back"));
+}
+
+// A chain through a cancellation in its middle, its last job later than all, as its users see it.
+TEST(Pipeline, WaitsRunsAndEndsWithACancellation) {
+  World world(51);
+  world.run(5);
+  const auto a = world.submit(stage({}, 5));
+  const auto b = world.submit(stage({a}, 30));
+  const auto c = world.submit(stage({b, a}));
+  world.run(12);
+  for (int node = 0; node < world.nodes(); ++node) {
+    const auto told = body_of(world.ask(node, poll(c)));
+    EXPECT_EQ(told["phase"], "queued");
+    EXPECT_EQ(told["waits_on"], wire::Json({b, a}));
+    EXPECT_TRUE(told["reason"].get<std::string>().starts_with("waits for " + b + " and 1 more")) << told;
+  }
+  while (world.now() < 60 && world.starts() < 4) world.run(world.now() + 0.1);
+  EXPECT_EQ(world.starts(), 4U) << "the second stage runs";
+  EXPECT_TRUE(world.jobs().at(a).told_done || world.jobs().at(a).completed.size() == 2);
+  world.cancel(b);
+  world.run(world.now() + 2);
+  const auto d = world.submit(stage({c}));
+  world.run(world.now() + 1);
+  for (const auto& uid : {b, c, d})
+    for (int node = 0; node < world.nodes(); ++node)
+      EXPECT_EQ(body_of(world.ask(node, poll(uid)))["phase"], "cancelled") << uid;
+  EXPECT_EQ(body_of(world.ask(0, submission(stage({c}), d)))["phase"], "cancelled") << "a retry";
+  EXPECT_EQ(body_of(world.ask(0, {net::Method::post, "/submissions/" + d + "/withdraw", "{}"}))["phase"],
+            "cancelled");
+  // The records follow, and a new leader agrees.
+  world.run(world.now() + 10);
+  EXPECT_EQ(world.keys().at(wire::job_key({d})).data["phase"], "cancelled");
+  const auto e = world.submit(stage({a}));  // named after its end
+  world.crash(world.leader(), 2);
+  world.run(world.now() + 40);
+  EXPECT_TRUE(world.jobs().at(e).told_done);
+  EXPECT_EQ(world.starts(), 6U);
+  EXPECT_TRUE(world.broken().empty()) << listing(world.broken());
+}
+
+// Refused is what can never be: a job never accepted, itself included, and a service. A retry of what was
+// accepted gets its state whatever it names.
+TEST(Pipeline, WhatCanNeverBeIsRefused) {
+  World world(53);
+  world.run(5);
+  const auto done = world.submit(stage({}, 1));
+  auto service = plain_job("red", 1, 1, 1000);
+  service.spec.shape = wire::Shape::daemon;
+  const auto portal = world.submit(service);
+  world.run(40);
+  ASSERT_TRUE(world.jobs().at(done).told_done);
+  for (int node = 0; node < world.nodes(); ++node) {
+    EXPECT_EQ(world.ask(node, submission(stage({"job-777777"}), "job-500001")).status, 422);
+    EXPECT_EQ(world.ask(node, submission(stage({"job-500001"}), "job-500001")).status, 422);
+    EXPECT_EQ(world.ask(node, submission(stage({portal}), "job-500001")).status, 422);
+    EXPECT_EQ(world.ask(node, poll("job-500001")).status, 404);
+    EXPECT_EQ(world.ask(node, submission(stage({"job-777777"}), done)).status, 200);
+    EXPECT_EQ(world.ask(node, submission(stage({portal}), done)).status, 200);
+  }
+  auto broken = to_json(stage({}).spec);
+  broken["uid"] = "job-500001";
+  broken["waits_on"] = "job-000000";
+  EXPECT_EQ(world.ask(0, {net::Method::post, "/submissions", broken.dump()}).status, 400);
+  // More than can be stored is refused at once and leaves nothing behind.
+  auto endless = stage({});
+  for (int i = 0; i < 4500; ++i) endless.spec.waits_on.push_back({"job-" + std::to_string(100000 + i)});
+  EXPECT_EQ(world.ask(0, submission(endless, "job-500001")).status, 400);
+  for (const auto& [key, entry] : world.keys()) EXPECT_FALSE(key.find("500001") != std::string::npos) << key;
+}
+
+// A list too long for one key, and jobs that left the controllers' memory long ago: read again, never
+// guessed.
+TEST(Pipeline, WaitsForHundredsAndForTheLongForgotten) {
+  World world(55);
+  world.states_kept = 5;
+  for (int node = 0; node < world.nodes(); ++node) world.crash(node, 0);
+  world.tighten();
+  world.run(5);
+  std::vector<std::string> all;
+  for (int i = 0; i < 200; ++i) {
+    all.push_back(world.submit(stage({}, 1, 1)));
+    world.run(world.now() + 0.15);
+  }
+  world.run(140);
+  for (const auto& uid : all) ASSERT_TRUE(world.jobs().at(uid).told_done) << uid;
+  const auto cancelled = world.submit(stage({}, 500));
+  world.run(145);
+  world.cancel(cancelled);
+  world.run(150);
+  const auto more = world.submit(stage({}, 60, 1));
+  all.push_back(more);
+  world.run(155);
+  const auto starts = world.starts();
+  const auto last = world.submit(stage(all, 1, 1));
+  const auto doomed = world.submit(stage({cancelled, more}, 1, 1));
+  world.run(175);
+  ASSERT_TRUE(world.jobs().at(last).accepted);
+  EXPECT_TRUE(world.keys().contains(wire::waits_key({last}, 0))) << "the list should need a further key";
+  EXPECT_GT(world.jobs().at(doomed).told_cancelled, 0);
+  EXPECT_EQ(world.starts(), starts);
+  for (int node = 0; node < world.nodes(); ++node) world.crash(node, 1);
+  world.run(300);
+  EXPECT_TRUE(world.jobs().at(last).told_done);
+  EXPECT_FALSE(world.keys().contains(wire::waits_key({last}, 0))) << "is left";
+  EXPECT_EQ(world.too_large_refused, 0U);
+  EXPECT_TRUE(world.broken().empty()) << listing(world.broken());
+}
+
+// A job that fails everywhere keeps those behind it waiting; their owners see why, and its cancellation ends
+// them.
+TEST(Pipeline, FaultyJobKeepsThoseBehindItWaiting) {
+  World world(57);
+  world.run(5);
+  auto faulty = stage({}, 5, 6);
+  faulty.broken = true;
+  const auto first = world.submit(faulty);
+  const auto second = world.submit(stage({first}));
+  const auto third = world.submit(stage({second}));
+  world.run(60);
+  const auto told = body_of(world.ask(0, poll(third)));
+  EXPECT_EQ(told["phase"], "queued");
+  EXPECT_NE(told["reason"].get<std::string>().find(first + ": its tasks fail on every machine tried"),
+            std::string::npos)
+      << told;
+  world.cancel(first);
+  world.run(75);
+  EXPECT_GT(world.jobs().at(third).told_cancelled, 0);
+  EXPECT_TRUE(world.broken().empty()) << listing(world.broken());
+}
+
+// A cancellation of hundreds must not hold up the writes that others wait for.
+TEST(Pipeline, CancellationOfHundredsCostsNoBurst) {
+  World world(59);
+  world.run(5);
+  const auto first = world.submit(stage({}, 500));
+  std::vector<std::string> behind;
+  for (int i = 0; i < 150; ++i) {
+    behind.push_back(world.submit(stage({first}, 1, 1)));
+    world.run(world.now() + 0.1);
+  }
+  const auto other = world.submit(stage({}, 4));
+  const auto next = world.submit(stage({other}, 1));
+  world.run(40);
+  world.cancel(first);
+  const double began = world.now();
+  world.run(began + 3);
+  for (const auto& uid : behind) EXPECT_EQ(body_of(world.ask(0, poll(uid)))["phase"], "cancelled") << uid;
+  EXPECT_TRUE(world.jobs().at(next).told_done || world.jobs().at(other).told_done);
+  world.run(began + 60);
+  for (const auto& uid : behind)
+    EXPECT_EQ(world.keys().at(wire::job_key({uid})).data["phase"], "cancelled") << uid;
+  EXPECT_TRUE(world.broken().empty()) << listing(world.broken());
+}
+
+// ---- the limits of the state service
+
+using Finished = std::set<std::pair<std::string, std::uint32_t>>;
+Finished stored_as_finished(const World& world) {
+  Finished tasks;
+  for (const auto& [key, entry] : world.keys())
+    if (key.starts_with(wire::kFinished))
+      for (const auto& [id, hex] :
+           wire::parse_finished_bucket(key.substr(wire::kFinished.size()), entry.data))
+        for (const auto index : wire::parse_finished_hex(hex, id.chunk)) tasks.emplace(id.job.value, index);
+  return tasks;
+}
+
+// Grows records of the size that the limits of before allow; says whether machines and finished tasks have
+// some.
+bool grow_old_records(World& world) {
+  world.announced = false;
+  world.address_of = [](const std::string& host) { return host + std::string(50, '.') + ":9000"; };
+  for (int node = 0; node < world.nodes(); ++node) world.crash(node, 0);
+  world.most_machines = 110;
+  world.run(5);
+  for (int i = 0; i < 9; ++i) {
+    // Each more urgent than the one before: all of them get a part of the machines.
+    auto job = plain_job("guest", 1900, 3, 2);
+    job.spec.flavors = std::vector<std::string>{"small"};
+    job.spec.due_s = 120 - 10 * i;
+    job.spec.reclaimable = job.kept = true;
+    world.submit(job);
+    world.run(world.now() + 8);
+  }
+  bool groups = false;
+  bool buckets = false;
+  for (const auto& [key, entry] : world.keys()) {
+    const bool large = entry.data.dump().size() > 2048;
+    groups = groups || (large && key.starts_with(wire::kMachines));
+    buckets = buckets || (large && key.starts_with(wire::kFinished));
+  }
+  return groups && buckets;
+}
+
+// Machines die, leaders change, jobs end, while everything stored is written again within the new limits.
+void live_on(World& world) {
+  auto before = stored_as_finished(world);
+  for (int i = 0; i < 8; ++i) {
+    world.submit(stage({}, 5));
+    world.kill_machines(0.08);
+    world.run(world.now() + 6);
+    if (i == 3) world.crash(world.leader(), 1);
+    auto now = stored_as_finished(world);
+    for (const auto& task : before)
+      if (world.keys().at(wire::kJobs + task.first).data["phase"] == "accepted") {
+        EXPECT_TRUE(now.contains(task)) << task.first << "/" << task.second << " is lost";
+      }
+    before = std::move(now);
+  }
+  for (int i = 0; i < 9; ++i) world.cancel("job-00000" + std::to_string(i));
+  world.run(world.now() + 90);
+  EXPECT_TRUE(world.broken().empty()) << listing(world.broken());
+  expect_all_over(world);
+  for (const auto& [key, entry] : world.keys()) {
+    EXPECT_FALSE(key.starts_with(wire::kFinished)) << key << " is left";
+    if (!key.starts_with(wire::kMachines)) continue;
+    EXPECT_LE(entry.data.dump().size(), 2048U) << key;
+    for (const auto& [host, address] :
+         wire::parse_machine_group(key.substr(wire::kMachines.size()), entry.data).hosts)
+      EXPECT_TRUE(world.machines().contains(host.value)) << host.value << " is gone and still recorded";
+  }
+}
+
+// A site taken over with records of the old size: written again they are split, nothing is lost, and not one
+// transaction is refused for its size.
+TEST(Limits, RecordsOfTheOldSizeAreSplit) {
+  World world(61);
+  ASSERT_TRUE(grow_old_records(world)) << "no records of the old size to take over";
+  world.announced = true;
+  for (int node = 0; node < world.nodes(); ++node) {
+    world.crash(node, 1);
+    world.run(world.now() + 4);
+  }
+  world.tighten();
+  live_on(world);
+  EXPECT_EQ(world.too_large_refused, 0U);
+}
+
+// Limits that nobody announced: what is refused is halved and made smaller, and holds up nothing.
+TEST(Limits, UnannouncedOnesHoldUpNothing) {
+  World world(63);
+  ASSERT_TRUE(grow_old_records(world));
+  world.tighten();
+  live_on(world);
+  EXPECT_GT(world.too_large_refused, 0U);
+  EXPECT_LT(world.too_large_refused, 60U);
+}
+
 }  // namespace
 }  // namespace bankhill::sim
--- a/tests/wire_test.cpp
+++ b/tests/wire_test.cpp
@@ -60,6 +60,24 @@
   }
 }
 
+TEST(Job, WaitsOnOthers) {
+  const auto with = [](const Json& value) {
+    auto object = job();
+    object["waits_on"] = value;
+    return object;
+  };
+  for (const auto& none : {Json(nullptr), Json::array()}) {
+    EXPECT_TRUE(parse_job(with(none)).waits_on.empty());
+    EXPECT_EQ(to_json(parse_job(with(none))), to_json(parse_job(job()))) << "stored as it always was";
+  }
+  const auto spec = parse_job(with({"job-2", "job-1", "job-2"}));
+  EXPECT_EQ(spec.waits_on, (std::vector<JobId>{{"job-2"}, {"job-1"}})) << "named twice counts once";
+  EXPECT_EQ(parse_job(to_json(spec)).waits_on, spec.waits_on);
+  for (const Json& bad :
+       {Json("job-1"), Json(7), Json{7}, Json{"job-"}, Json{"task-1"}, Json{"job-1/2"}, Json{nullptr}})
+    EXPECT_THROW(parse_job(with(bad)), Malformed) << bad;
+}
+
 TEST(Text, RefusesWhatIsNoObject) {
   for (const auto* text : {"", "[1]", "7", "{\"a\":", "null", "\"x\"", "{} x"})
     EXPECT_THROW(parse_object(text), Malformed) << text;
@@ -132,6 +150,79 @@
   }
 }
 
+// What a job waits for has no bound of its own: it goes to as many keys as it needs, each within the limit,
+// or is not accepted at all.
+TEST(Records, LongListsOfJobsGoToFurtherKeys) {
+  const auto limit = usable_bytes(2);
+  for (const std::size_t count : {0U, 1U, 40U, 150U, 500U, 1500U, 5000U}) {
+    JobRecord record{parse_job(job()), JobPhase::accepted, 1.8e9, 0, 0};
+    for (std::size_t i = 0; i < count; ++i)
+      record.spec.waits_on.push_back({"job-" + std::to_string(900000 + i)});
+    const auto values = stored_job(record, limit, 8);
+    EXPECT_EQ(values.empty(), count == 5000U) << count;
+    if (values.empty()) continue;
+    EXPECT_LE(values.size(), 8U);
+    EXPECT_EQ(values.size() == 1, count <= 40) << count;
+    for (const auto& [key, value] : values) EXPECT_LE(value.dump().size(), limit) << key;
+    auto read = parse_job_record(values.front().second);
+    EXPECT_EQ(values.size(), 1 + read.waits_parts);
+    for (std::uint32_t part = 0; part < read.waits_parts; ++part) {
+      EXPECT_EQ(values[part + 1].first, waits_key(record.spec.uid, part));
+      for (const auto& id : parse_waits_part(values[part + 1].second)) read.spec.waits_on.push_back(id);
+    }
+    EXPECT_EQ(read.spec.waits_on, record.spec.waits_on);
+  }
+  EXPECT_THROW(parse_waits_part(Json("1 x")), Malformed);
+  EXPECT_THROW(parse_waits_part(Json(1)), Malformed);
+}
+
+// A job whose record was written under a larger limit must still be able to end.
+TEST(Records, AnEndFitsWhateverTheJobWas) {
+  const auto limit = usable_bytes(2);
+  JobRecord record{parse_job(job()), JobPhase::accepted, 1.8e9, 0, 0};
+  EXPECT_EQ(parse_job_record(final_json(record, JobPhase::done, 1.9e9, limit)).spec.flavors,
+            record.spec.flavors);
+  record.spec.flavors = std::vector<std::string>(30, std::string(200, 'f'));
+  record.spec.queue = record.spec.bundle = std::string(200, '\x01');
+  record.spec.rack_room = record.spec.owner = std::string(200, 'o');
+  for (int i = 0; i < 900; ++i) record.spec.waits_on.push_back({"job-" + std::to_string(i)});
+  EXPECT_TRUE(stored_job(record, limit, 8).empty());
+  const auto ended = final_json(record, JobPhase::cancelled, 1.9e9, limit);
+  EXPECT_LE(ended.dump().size(), limit);
+  const auto read = parse_job_record(ended);
+  EXPECT_EQ(read.phase, JobPhase::cancelled);
+  EXPECT_EQ(read.ended_at, 1.9e9);
+  EXPECT_EQ(read.spec.owner, record.spec.owner);
+  EXPECT_EQ(read.spec.members, record.spec.members);
+}
+
+TEST(Records, ACatalogueOfAnyLengthIsStoredAndRead) {
+  const auto limit = usable_bytes(2);
+  std::vector<Flavor> flavors;
+  CatalogueReader reader;
+  for (const std::size_t count : {3U, 40U, 25U, 2U}) {
+    flavors.resize(count);
+    for (std::size_t i = 0; i < count; ++i)
+      flavors[i] = {"flavor-" + std::to_string(i), {8, 0, 32}, 60, 1, 1, 0.3, 35, {"za", "zb"}};
+    const auto values = stored_catalogue(flavors, limit, count);
+    EXPECT_EQ(values.size() == 1, count <= 3U);
+    std::size_t learned = 0;
+    for (const auto& [key, value] : values) {
+      EXPECT_LE(value.dump().size(), limit);
+      const auto read = reader.learn(key, value);
+      if (read) ++learned;
+      EXPECT_EQ(read.has_value(), &value == &values.back().second)
+          << "parts of two generations are not mixed";
+      if (read) {
+        EXPECT_EQ(to_json(*read), to_json(flavors));
+      }
+    }
+    EXPECT_EQ(learned, 1U);
+  }
+  EXPECT_FALSE(reader.learn(kCatalogueParts + "0", std::nullopt));
+  EXPECT_FALSE(reader.learn(kTermKey, Json{{"n", 1}}));
+}
+
 std::vector<Frame> frames() {
   return {Hello{~0ULL >> 1, "node-1"}, Beat{41, true, false},
           Call{7, true, "/submissions", std::string(5000, 'x')}, Answer{7, 201, 1500, "{}"},
