--- a/src/app/node.cpp
+++ b/src/app/node.cpp
@@ -48,7 +48,7 @@
            net::Client& client, net::PeerPort& peers)
     : store_(loop, client, log, settings.state,
              {settings.state_rps, settings.state_write_rps, settings.state_value_kb, settings.state_txn_ops,
-              settings.controllers, settings.state_next_write_rps}),
+              settings.controllers}),
       cloud_(loop, client, log, settings.cloud, settings.cloud_rps),
       relay_(loop, names(settings), settings.pace_s / 6,
              {peers,
--- a/src/app/settings.cpp
+++ b/src/app/settings.cpp
@@ -124,8 +124,7 @@
     return wire::absent(next, name) ? now : std::min(now, positive(next, name));
   };
   settings.state_rps = smaller("rps");
-  settings.state_write_rps = positive(state, "write_rps");
-  settings.state_next_write_rps = smaller("write_rps");
+  settings.state_write_rps = smaller("write_rps");
   settings.state_value_kb = smaller("value_kb");
   settings.state_txn_ops = std::max<std::size_t>(1, static_cast<std::size_t>(smaller("txn_ops")));
   const auto& cloud = section(params, "cloud");
--- a/src/app/settings.hpp
+++ b/src/app/settings.hpp
@@ -61,7 +61,6 @@
   // come without notice.
   double state_rps = 0;
   double state_write_rps = 0;
-  double state_next_write_rps = 0;  // that it will have; shows as 429
   double state_value_kb = 0;
   std::size_t state_txn_ops = 0;
   double cloud_rps = 0;
--- a/src/state/store.cpp
+++ b/src/state/store.cpp
@@ -229,13 +229,7 @@
            result.outcome = Outcome::done;
          else if (response.status == 409)
            result.outcome = Outcome::conflict;
-         else if (response.status == 429 && limits_.next_write_rps > 0 &&
-                  limits_.next_write_rps < limits_.write_rps) {
-           limits_.write_rps = limits_.next_write_rps;
-           writes_ = net::RateLimit(limits_.write_rps * kWritesUsed, limits_.write_rps * kWritesUsed);
-           result.outcome = Outcome::refused;
-           log_->info("state: from now on {} writes a second", limits_.write_rps);
-         } else if (response.status == 400)
+         else if (response.status == 400)
            result.outcome = Outcome::malformed;
          else if (response.status != 0)
            result.outcome = Outcome::refused;
--- a/src/state/store.hpp
+++ b/src/state/store.hpp
@@ -22,7 +22,6 @@
   double value_kb = 8;
   std::size_t txn_ops = 16;
   std::size_t controllers = 3;  // that share these limits
-  double next_write_rps = 0;    // smaller, from some moment on; 0: none
 };
 
 struct Condition {
