--- a/src/app/main.cpp
+++ b/src/app/main.cpp
@@ -93,6 +93,10 @@
   auto* submit = program.add_subcommand("submit", "submit a job described in a JSON file");
   submit->add_option("--server", server, "address of a controller")->capture_default_str();
   submit->add_option("file", file, "the job")->required();
+  std::vector<std::string> waits_on;
+  submit->add_option("--waits-on", waits_on, "a job that must be done before; may be given several times")
+      ->expected(1)
+      ->take_all();
   auto* status = program.add_subcommand("status", "show the state of a job");
   status->add_option("--server", server, "address of a controller")->capture_default_str();
   status->add_option("uid", uid, "the job's id")->required();
@@ -104,7 +108,10 @@
 
   try {
     if (*submit) {
-      const auto job = wire::parse_job(wire::parse_object(app::read_file(file)));
+      auto object = wire::parse_object(app::read_file(file));
+      if (!waits_on.empty() && !object["waits_on"].is_array()) object["waits_on"] = wire::Json::array();
+      for (const auto& id : waits_on) object["waits_on"].push_back(id);
+      const auto job = wire::parse_job(object);
       return ask(server, net::Method::post, "/submissions", to_json(job).dump());
     }
     if (*status || *withdraw) {
--- a/tests/smoke_test.cpp
+++ b/tests/smoke_test.cpp
@@ -58,6 +58,11 @@
     kill(id_, SIGKILL);
     wait();
   }
+  bool ended() {
+    int status = 0;
+    if (id_ > 0 && waitpid(id_, &status, WNOHANG) == id_) id_ = 0;
+    return id_ <= 0;
+  }
   int wait() {
     int status = 0;
     waitpid(id_, &status, 0);
@@ -186,10 +191,35 @@
   EXPECT_TRUE(until(40, [&] { return world.jobs().rbegin()->second.told_done; })) << "after a death";
   EXPECT_TRUE(world.broken().empty()) << world.broken().front();
 
-  // The client commands.
-  Process known({BANKHILL_BINARY, "status", "--server", loopback(ports[1]), "job-000000"});
-  EXPECT_EQ(status_of({net::Method::get, "/submissions/job-000000", ""}, 1), 200);
-  EXPECT_EQ(known.wait(), 0);
+  // The client commands, as a user would: a pipeline is submitted, waits, is cancelled in its middle and
+  // ends.
+  const std::string output = testing::TempDir() + "bankhill-client-" + std::to_string(getpid());
+  const auto run = [&](std::vector<std::string> arguments) {
+    std::remove(output.c_str());
+    arguments.insert(arguments.begin(), BANKHILL_BINARY);
+    arguments.insert(arguments.end(), {"--server", loopback(ports[1])});
+    Process client_process(arguments, output);
+    until(30, [&] { return client_process.ended(); });
+    std::ifstream read(output);
+    return std::string((std::istreambuf_iterator<char>(read)), {});
+  };
+  EXPECT_NE(run({"status", "job-000000"}).find("\"done\""), std::string::npos);
+  job.run_s = 1000;
+  const auto first = world.submit(job);
+  ASSERT_TRUE(until(20, [&] { return world.jobs().at(first).accepted; }));
+  const std::string file = output + ".json";
+  const auto submit = [&](const std::string& uid, const std::string& waits_on) {
+    job.spec.uid = {uid};
+    std::ofstream(file) << to_json(job.spec).dump();
+    return run({"submit", file, "--waits-on", waits_on});
+  };
+  EXPECT_NE(submit("job-500001", first).find("queued"), std::string::npos);
+  EXPECT_NE(submit("job-500002", "job-500001").find("queued"), std::string::npos);
+  EXPECT_NE(submit("job-500003", "job-777777").find("job-777777 was never accepted"), std::string::npos);
+  const auto waiting = run({"status", "job-500002"});
+  EXPECT_NE(waiting.find("waits for job-500001"), std::string::npos) << waiting;
+  EXPECT_NE(run({"withdraw", "job-500001"}).find("cancelled"), std::string::npos);
+  EXPECT_NE(run({"status", "job-500002"}).find("cancelled"), std::string::npos);
 }
 
 TEST(CommandLine, SettingsAreCheckedAndErrorsNamed) {
