--- a/src/leader/placement.cpp
+++ b/src/leader/placement.cpp
@@ -25,7 +25,6 @@
 constexpr double kServiceShare = 0.04;   // of all services: may be on one machine
 constexpr std::size_t kRoomLook = 48;    // machines looked at for a task that needs others stopped
 constexpr unsigned kTryBits = 24;        // attempts of one term; the term is above them
-constexpr double kAsidePaces = 4;        // that a service may wait rather than start outside the main zone
 constexpr double kRounding = 1e-6;
 // Guesses are often wrong by half: a job counts as too late only when even this part of its guess does not
 // fit.
@@ -142,7 +141,7 @@
       [&](const Pool& pool) {
         const bool aside =
             job.service() && !settings_.main_zone.empty() && pool.rack_room != settings_.main_zone;
-        return aside ? kAsidePaces * settings_.pace_s : 0.0;
+        return aside ? settings_.pace_s : 0.0;
       },
       [&](const Machine& machine) {
         return !job.failed_on.contains(machine.host) && !crowded(machine, job) &&
