--- a/tests/sim/world.cpp
+++ b/tests/sim/world.cpp
@@ -518,6 +518,7 @@
       items.push_back({{"k", key}, {"data", entry.data}, {"stamp", entry.stamp}});
     return {200, Json{{"items", items}, {"has_next", false}, {"epoch", epoch_}}.dump(), std::nullopt};
   }
+  if (node == unread_node) return {503, "{}", std::nullopt};
   const auto found = keys_.find(request.path.substr(6));
   if (found == keys_.end()) return {404, Json{{"epoch", epoch_}}.dump(), std::nullopt};
   return {200, Json{{"k", found->first}, {"data", found->second.data}, {"stamp", found->second.stamp}}.dump(),
--- a/tests/sim/world.hpp
+++ b/tests/sim/world.hpp
@@ -179,6 +179,7 @@
   int most_machines = 14;           // that the cloud has
   double report_delay = 0;          // on the way to the controllers
   int deaf_node = -1;               // its watches of the state service are not answered
+  int unread_node = -1;             // its reads of single keys are refused
   bool unchecked_records = false;   // for starts that no controller ordered
   bool recorded(const std::string& host) const;
   const std::map<std::string, StateKey>& keys() const { return keys_; }
--- a/tests/sim_test.cpp
+++ b/tests/sim_test.cpp
@@ -505,6 +505,36 @@
   EXPECT_TRUE(world.broken().empty()) << listing(world.broken());
 }
 
+// Invariant 15: a node that cannot read what became of a job long over must not call one that waits for it
+// queued, when others may have told its user that it is cancelled.
+TEST(Pipeline, NotKnowingIsNoAnswer) {
+  World world(65);
+  world.states_kept = 1;
+  for (int node = 0; node < world.nodes(); ++node) world.crash(node, 0);
+  world.run(5);
+  const auto cancelled = world.submit(stage({}, 500));
+  world.run(8);
+  world.cancel(cancelled);
+  world.run(12);
+  for (int i = 0; i < 4; ++i) world.submit(stage({}, 1));  // it is forgotten
+  world.run(60);
+  const int blind = world.unread_node = world.leader() == 0 ? 1 : 0;
+  const auto waiting = stage({cancelled}, 1);
+  EXPECT_LT(world.ask(world.leader(), submission(waiting, "job-500001")).status, 300);
+  world.run(world.now() + 1);
+  EXPECT_EQ(body_of(world.ask(world.leader(), poll("job-500001")))["phase"], "cancelled");
+  net::Response told;
+  // Alone with what it knows: no sibling to ask.
+  for (int node = 0; node < world.nodes(); ++node)
+    world.cut("node-" + std::to_string(blind), "node-" + std::to_string(node), 20, false);
+  world.run(world.now() + 6);
+  told = world.ask(blind, poll("job-500001"));
+  EXPECT_TRUE(told.status == 503 || body_of(told)["phase"] == "cancelled") << told.status << told.body;
+  world.unread_node = -1;
+  world.run(world.now() + 2);
+  EXPECT_EQ(body_of(world.ask(blind, poll("job-500001")))["phase"], "cancelled");
+}
+
 // A job that fails everywhere keeps those behind it waiting; their owners see why, and its cancellation ends
 // them.
 TEST(Pipeline, FaultyJobKeepsThoseBehindItWaiting) {
