--- a/src/gateway/gateway.cpp
+++ b/src/gateway/gateway.cpp
@@ -18,8 +18,6 @@
 constexpr double kStateSilenceS = 2.5;
 constexpr double kRelayS = 1.5;  // users wait 2 s for a poll
 constexpr int kTries = 5;
-constexpr std::size_t kAskAtOnce = 8;  // records read at the same time
-constexpr double kAskAgainS = 0.5;
 constexpr std::size_t kNamed = 20;     // jobs that an answer names as waited for
 constexpr std::size_t kLookedAt = 16;  // of them, for why they are not done yet
 constexpr int kStepsUp = 64;           // from a job to the one that its pipeline stands at
@@ -37,6 +35,7 @@
       log_(std::move(log)),
       store_(store),
       relay_(relay),
+      reader_(loop, store),
       teams_(std::move(teams)),
       final_states_kept_(final_states_kept) {}
 
@@ -67,7 +66,6 @@
 }
 
 void Gateway::learn(const JobId& id, const state::Entry& entry) {
-  using State = model::JobFact::State;
   auto& known = jobs_[id];
   if (known.stamp >= entry.stamp) return;
   const bool fresh = known.stamp.value == 0;
@@ -77,13 +75,8 @@
   known.phase = record.phase;
   known.members = record.spec.members;
   known.service = record.spec.shape == wire::Shape::daemon;
-  model::JobFact fact;
-  fact.stamp = entry.stamp;
-  fact.state = known.phase == JobPhase::accepted ? State::accepted
-               : known.phase == JobPhase::done   ? State::done
-                                                 : State::cancelled;
   if (known.phase == JobPhase::accepted && fresh) add_waits(id, record, entry.stamp);
-  waits_.learn(id, fact);
+  waits_.learn(id, model::fact_of(known.phase, entry.stamp));
   waits_.take_news();  // what has become of a job is asked when its user asks
   if (known.phase == JobPhase::accepted) {
     known.record = std::move(record);
@@ -103,51 +96,25 @@
     for (auto& need : wire::parse_waits_part(found->second)) record.spec.waits_on.push_back(std::move(need));
   }
   if (record.spec.waits_on.empty() && !incomplete) return;
-  model::JobFact fact;
-  fact.state = model::JobFact::State::accepted;
-  fact.stamp = stamp;
-  waits_.add(id, fact, record.spec.waits_on, incomplete, [this](const JobId& need) {
-    using State = model::JobFact::State;
-    model::JobFact known_of;
-    const auto found = jobs_.find(need);
-    if (found == jobs_.end()) return known_of;
-    known_of.stamp = found->second.stamp;
-    known_of.state = found->second.phase == JobPhase::accepted ? State::accepted
-                     : found->second.phase == JobPhase::done   ? State::done
-                                                               : State::cancelled;
-    return known_of;
-  });
+  waits_.add(id, model::fact_of(record.phase, stamp), record.spec.waits_on, incomplete,
+             [this](const JobId& need) {
+               const auto found = jobs_.find(need);
+               return found == jobs_.end() ? model::JobFact{}
+                                           : model::fact_of(found->second.phase, found->second.stamp);
+             });
 }
 
 // Named jobs that left memory long ago: not knowing is taken neither for done nor for cancelled.
 void Gateway::ask_unknown() {
-  for (const auto& id : waits_.take_questions()) {
-    if (asking_for_.contains(id)) continue;
-    if (asking_for_.size() >= kAskAtOnce) {
-      waits_.ask_again(id);
-      continue;
-    }
-    asking_for_.insert(id);
-    store_.tell(state::Fetch{wire::job_key(id),
-                             guard([this, id](bool known, const std::optional<state::Entry>& entry) {
-                               asking_for_.erase(id);
-                               if (!known) {
-                                 waits_.ask_again(id);
-                                 ask_timer_ = loop().after(kAskAgainS, guard([this] { ask_unknown(); }));
-                                 return;
-                               }
+  for (const auto& id : waits_.take_questions())
+    reader_.tell(state::Read{wire::job_key(id), guard([this, id](const std::optional<state::Entry>& entry) {
                                if (entry) {
                                  learn_final(id, *entry);
-                                 forget_old();
-                               } else {
-                                 model::JobFact missing;
-                                 missing.state = model::JobFact::State::missing;
-                                 waits_.learn(id, missing);
-                                 log_->warn("job {}: is waited for and has no record", id.value);
+                                 return forget_old();
                                }
-                               ask_unknown();
+                               waits_.learn(id, model::missing_fact());
+                               log_->warn("job {}: is waited for and has no record", id.value);
                              })});
-  }
 }
 
 // A record read by itself. One of a live job comes with the watch, in order and with all that belongs to it.
@@ -301,12 +268,16 @@
   const auto reason = refused(spec);
   if (!reason && spec.waits_on.empty()) return accept(call, spec);
   if (!reason) return check_waits(call, spec);
-  // A job accepted before is answered with its state before any such check.
-  look_up(spec.uid, guard([this, call, uid = spec.uid, reason](bool fine, const Known* found) {
+  refuse(call, spec.uid, *reason);
+}
+
+// For good. A job accepted before is answered with its state, whatever speaks against it now.
+void Gateway::refuse(const CallPtr& call, const JobId& id, const Response& reason) {
+  look_up(id, guard([this, call, id, reason](bool fine, const Known* found) {
             if (!fine) return unable(call);
-            if (found != nullptr) return call->reply(describe(uid, *found));
+            if (found != nullptr) return call->reply(describe(id, *found));
             if (flavors_.empty()) return call->reply({503, "{}", kRetryAfterS});
-            call->reply(*reason);
+            call->reply(reason);
           }));
 }
 
@@ -327,35 +298,22 @@
 // Users name only jobs that were accepted, by any node and at any time: one that is not known here is looked
 // for as freshly as the job itself.
 void Gateway::check_waits(const CallPtr& call, const wire::JobSpec& spec) {
-  std::optional<JobId> missing;
   for (; call->checked < spec.waits_on.size(); ++call->checked) {
     const auto& need = spec.waits_on[call->checked];
     const auto known = jobs_.find(need);
-    if (known == jobs_.end() && !waits_.accepted(need)) {
-      missing = need;
-      break;
-    }
-    if (known != jobs_.end() && known->second.service) break;
+    if (known != jobs_.end() && known->second.service)
+      return refuse(call, spec.uid, error(422, need.value + " is a service, which is never done"));
+    if (known != jobs_.end() || waits_.accepted(need)) continue;
+    return look_up(need, guard([this, call, spec, need](bool fine, const Known* found) {
+                     if (!fine) return unable(call);
+                     if (found == nullptr)
+                       return refuse(call, spec.uid, error(422, need.value + " was never accepted"));
+                     // Fetched, it may leave memory again before the next look.
+                     if (!found->service) ++call->checked;
+                     check_waits(call, spec);
+                   }));
   }
-  if (call->checked == spec.waits_on.size()) return accept(call, spec);
-  const bool service = !missing;
-  const auto refuse = [this, call, spec, service] {
-    // A retry of an accepted job is answered with its state whatever it names.
-    look_up(spec.uid, guard([this, call, spec, service](bool fine, const Known* found) {
-              if (!fine) return unable(call);
-              if (found != nullptr) return call->reply(describe(spec.uid, *found));
-              const auto& need = spec.waits_on[call->checked].value;
-              call->reply(error(
-                  422, service ? need + " is a service, which is never done" : need + " was never accepted"));
-            }));
-  };
-  if (service) return refuse();
-  look_up(*missing, guard([this, call, spec, refuse](bool fine, const Known* found) {
-    if (!fine) return unable(call);
-    if (found == nullptr) return refuse();
-    if (!found->service) ++call->checked;  // fetched, it may leave memory again before the next look
-    check_waits(call, spec);
-  }));
+  accept(call, spec);
 }
 
 void Gateway::accept(const CallPtr& call, const wire::JobSpec& spec) {
@@ -376,7 +334,7 @@
                  std::nullopt});
           case Outcome::malformed:
             // The service's limits are below those announced.
-            return call->reply(too_long());
+            return refuse(call, spec.uid, too_long());
           case Outcome::conflict:
             return answer_known(call, spec.uid);
           case Outcome::refused:
--- a/src/gateway/gateway.hpp
+++ b/src/gateway/gateway.hpp
@@ -7,7 +7,6 @@
 #include <map>
 #include <memory>
 #include <optional>
-#include <set>
 #include <string>
 #include <vector>
 
@@ -17,6 +16,7 @@
 #include "net/relay.hpp"
 #include "runtime/actor.hpp"
 #include "runtime/log.hpp"
+#include "state/reader.hpp"
 #include "state/store.hpp"
 #include "wire/records.hpp"
 
@@ -79,6 +79,7 @@
   std::size_t value_bytes() const;
   wire::KeyedValues stored(const wire::JobSpec& spec) const;
   bool needs_cancelled(const wire::JobSpec& spec) const;
+  void refuse(const CallPtr& call, const wire::JobId& id, const net::Response& reason);
   void check_waits(const CallPtr& call, const wire::JobSpec& spec);
   void accept(const CallPtr& call, const wire::JobSpec& spec);
   void answer_known(const CallPtr& call, const wire::JobId& id);
@@ -91,6 +92,7 @@
   runtime::Log log_;
   state::Store& store_;
   net::Relay& relay_;
+  state::Reader reader_;  // of jobs that are named and not known
   std::vector<TeamLimit> teams_;
   std::size_t final_states_kept_;
   std::vector<wire::Flavor> flavors_;
@@ -98,8 +100,6 @@
   model::Waits waits_;
   wire::CatalogueReader catalogue_;
   std::map<std::string, wire::Json> waits_parts_;  // by key
-  std::set<wire::JobId> asking_for_;               // records of jobs that are named and not known
-  runtime::Timer ask_timer_;
   std::deque<wire::JobId> final_order_;
   bool forgot_some_ = false;
 };
--- a/src/leader/leader.cpp
+++ b/src/leader/leader.cpp
@@ -26,7 +26,11 @@
 }  // namespace
 
 Leader::Leader(runtime::Loop& loop, runtime::Log log, Settings settings, Ports ports)
-    : Actor(loop), log_(std::move(log)), settings_(std::move(settings)), ports_(std::move(ports)) {
+    : Actor(loop),
+      log_(std::move(log)),
+      settings_(std::move(settings)),
+      ports_(std::move(ports)),
+      reader_(loop, ports_.store) {
   value_bytes_ = wire::usable_bytes(settings_.value_kb);
   most_writes_ = settings_.txn_ops;
 }
@@ -355,7 +359,6 @@
   tick_timer_ = loop().after(kTickS, guard([this] { tick(); }));
   const double now = loop().now();
   const double passed = now - std::exchange(last_tick_, now);
-  ask_unknown();
   if (!reigning_) return;
   if (now >= next_sync_) {
     next_sync_ = now + kSyncS;
--- a/src/leader/leader.hpp
+++ b/src/leader/leader.hpp
@@ -19,6 +19,7 @@
 #include "planner/planner.hpp"
 #include "runtime/actor.hpp"
 #include "runtime/log.hpp"
+#include "state/reader.hpp"
 #include "state/store.hpp"
 
 namespace bankhill::leader {
@@ -286,7 +287,7 @@
   wire::CatalogueReader catalogue_;
   Jobs jobs_;
   model::Waits waits_;
-  std::set<wire::JobId> asking_for_;  // records of jobs that are named and not known
+  state::Reader reader_;  // of jobs that are named and not known
   std::deque<wire::JobId>
       to_cancel_;  // never started, cancelled with one they need: not yet in their records
   std::map<wire::JobId, model::Job*> live_;
--- a/src/leader/pipelines.cpp
+++ b/src/leader/pipelines.cpp
@@ -9,19 +9,13 @@
 using model::JobFact;
 
 namespace {
-constexpr std::size_t kAskAtOnce = 8;  // records read at the same time
 // A job's tasks take longer than guessed and not equally long; the next stage waits for the last one.
 constexpr double kStageShare = 1.5;  // of the guess
 constexpr double kStagePaces = 1;    // image, report, commit
 }  // namespace
 
 JobFact Leader::fact(const Job& job) const {
-  using State = JobFact::State;
-  JobFact fact;
-  fact.state = !job.over()                         ? State::accepted
-               : job.phase == wire::JobPhase::done ? State::done
-                                                   : State::cancelled;
-  fact.stamp = job.stamp;
+  auto fact = model::fact_of(job.phase, job.stamp);
   fact.ended_at = job.ended_at;
   fact.rank = job.spec.rank;
   if (job.spec.due_s) fact.due_at = job.accepted_at + *job.spec.due_s;
@@ -109,35 +103,18 @@
 
 // Named jobs that left memory long ago: not knowing is taken neither for done nor for cancelled.
 void Leader::ask_unknown() {
-  for (const auto& id : waits_.take_questions()) {
-    if (asking_for_.contains(id)) continue;
-    if (asking_for_.size() >= kAskAtOnce) {
-      waits_.ask_again(id);
-      continue;
-    }
-    asking_for_.insert(id);
-    ports_.store.tell(state::Fetch{wire::job_key(id),
-                                   guard([this, id](bool known, const std::optional<state::Entry>& entry) {
-                                     asking_for_.erase(id);
-                                     if (!known) return waits_.ask_again(id);  // with the next tick
-                                     JobFact found;
-                                     found.state = JobFact::State::missing;
-                                     if (entry) {
-                                       const auto record = wire::parse_job_record(entry->data);
-                                       Job job;
-                                       job.spec = record.spec;
-                                       job.phase = record.phase;
-                                       job.accepted_at = record.accepted_at;
-                                       job.ended_at = record.ended_at;
-                                       job.stamp = entry->stamp;
-                                       found = fact(job);
-                                     } else {
-                                       log_->warn("job {}: is waited for and has no record", id.value);
-                                     }
-                                     waits_.learn(id, found);
-                                     take_waits_news();
-                                   })});
-  }
+  for (const auto& id : waits_.take_questions())
+    reader_.tell(state::Read{wire::job_key(id), guard([this, id](const std::optional<state::Entry>& entry) {
+                               if (!entry) {
+                                 log_->warn("job {}: is waited for and has no record", id.value);
+                                 return waits_.learn(id, model::missing_fact());
+                               }
+                               const auto record = wire::parse_job_record(entry->data);
+                               auto found = model::fact_of(record.phase, entry->stamp);
+                               found.ended_at = record.ended_at;
+                               waits_.learn(id, found);
+                               take_waits_news();
+                             })});
 }
 
 void Leader::drop_waits_parts(const wire::JobId& id, std::uint32_t parts) {
--- a/src/model/waits.cpp
+++ b/src/model/waits.cpp
@@ -8,6 +8,21 @@
 
 using wire::JobId;
 
+JobFact fact_of(wire::JobPhase phase, wire::Stamp stamp) {
+  JobFact fact;
+  fact.state = phase == wire::JobPhase::accepted ? JobFact::State::accepted
+               : phase == wire::JobPhase::done   ? JobFact::State::done
+                                                 : JobFact::State::cancelled;
+  fact.stamp = stamp;
+  return fact;
+}
+
+JobFact missing_fact() {
+  JobFact fact;
+  fact.state = JobFact::State::missing;
+  return fact;
+}
+
 const Waits::Node* Waits::find(const JobId& id) const {
   const auto found = nodes_.find(id);
   return found == nodes_.end() ? nullptr : &found->second;
@@ -76,11 +91,6 @@
   return std::exchange(questions_, {});
 }
 
-void Waits::ask_again(const JobId& id) {
-  if (const auto* node = find(id); node != nullptr && node->fact.state == State::unknown)
-    questions_.push_back(id);
-}
-
 // An end costs its own edges and no more.
 void Waits::done(const Node& node) {
   for (const auto& id : node.later) {
--- a/src/model/waits.hpp
+++ b/src/model/waits.hpp
@@ -28,6 +28,10 @@
   double takes_s = 0;                                       // from its release to its end
 };
 
+// Of a job of which only this is of interest.
+JobFact fact_of(wire::JobPhase phase, wire::Stamp stamp);
+JobFact missing_fact();
+
 class Waits {
  public:
   using State = JobFact::State;
@@ -54,9 +58,8 @@
   void learn(const wire::JobId& id, const JobFact& fact);
   // What has changed since the last call.
   News take_news() { return std::exchange(news_, {}); }
-  // Jobs of which nothing is known, to be read by the caller; each is named once until ask_again().
+  // Jobs of which nothing is known, to be read by the caller; each is named once.
   std::vector<wire::JobId> take_questions();
-  void ask_again(const wire::JobId& id);
 
   // Whether everything that it needs is done.
   bool released(const wire::JobId& id) const;
--- a/tests/waits_test.cpp
+++ b/tests/waits_test.cpp
@@ -105,10 +105,6 @@
         EXPECT_TRUE(forgotten.contains(question));
         EXPECT_TRUE(waits.in_doubt(id) || waits.cancelled(id));
         EXPECT_FALSE(waits.released(id));
-        if (pick(3) == 0) {  // not answered at first
-          waits.ask_again(question);
-          EXPECT_EQ(waits.take_questions(), std::vector<JobId>{question});
-        }
         waits.learn(question, plain.jobs.at(question).fact);
       }
     } else {
