--- a/tests/sim/world.cpp
+++ b/tests/sim/world.cpp
@@ -20,6 +20,9 @@
 constexpr double kWall = 1.8e9;
 constexpr double kReportDrop = 4;
 constexpr double kListLag = 5;
+constexpr double kNextWriteRps = 60;
+constexpr double kNextValueKb = 2;
+constexpr std::size_t kNextTxnOps = 8;
 const std::vector<std::string> kZones = {"za", "zb"};
 
 app::Settings site(int node, int count, bool announced) {
@@ -31,7 +34,9 @@
               {"state", {{"rps", 300}, {"write_rps", 100}, {"value_kb", 8}, {"txn_ops", 16}}},
               {"cloud", {{"rps", 10}, {"list_lag_s", kListLag}}}};
   // The sizes and rates of upgrade and tightening are those of a small site, in about the real proportion.
-  if (announced) params["state"]["next"] = {{"write_rps", 60}, {"value_kb", 2}, {"txn_ops", 8}};
+  if (announced)
+    params["state"]["next"] = {
+        {"write_rps", kNextWriteRps}, {"value_kb", kNextValueKb}, {"txn_ops", kNextTxnOps}};
   Json root{{"host_name", "node-" + std::to_string(node)},
             {"zone", kZones[static_cast<std::size_t>(node) % 2]},
             {"api_addr", "10.0.0.1:80"},
@@ -214,6 +219,10 @@
       settings_next_(site(0, node_count_, true)),
       limits_(settings_),
       nodes_(static_cast<std::size_t>(node_count_)) {
+  // Not as the controllers read them: what they get wrong must show.
+  settings_next_.state_write_rps = kNextWriteRps;
+  settings_next_.state_value_kb = kNextValueKb;
+  settings_next_.state_txn_ops = kNextTxnOps;
   address_of = [](const std::string& host) { return host; };
   to_node = [this](int node, Request request, net::Reply reply) {
     if (!nodes_[static_cast<std::size_t>(node)]) return reply({});
