--- a/src/leader/fleet.cpp
+++ b/src/leader/fleet.cpp
@@ -88,17 +88,7 @@
   std::map<std::string, double> cores;
   for (const auto& [id, pointer] : live_) {
     const auto& job = *pointer;
-    if (loop().now() < job.blocked_until) continue;
-    if (!job.released) {
-      // Rented ahead: all that it waits for has all its tasks placed.
-      std::size_t open = 0;
-      const auto needs = waits_.open_needs(id, 16, open);
-      const bool soon = open == needs.size() && std::all_of(needs.begin(), needs.end(), [&](const wire::JobId& need) {
-        const auto found = live_.find(need);
-        return found != live_.end() && found->second->released && found->second->ready == 0;
-      });
-      if (!soon) continue;
-    }
+    if (!job.released || loop().now() < job.blocked_until) continue;
     planner::Work item;
     item.need = job.spec.need;
     item.tasks = job.unfinished();
@@ -118,7 +108,7 @@
           std::min(item.tasks, std::max(0.0, std::floor((owner->limit.cores - used) / item.need.cores)));
       used += item.tasks * item.need.cores;
     }
-    if (job.released && job.ready > 0) waiting = true;
+    if (job.ready > 0) waiting = true;
     if (item.tasks > 0) work.push_back(std::move(item));
   }
   reserve_cores_ = service_reserve();
