--- /dev/null
+++ b/src/headers.cpp
@@ -0,0 +1,2 @@
+// Gives the precompiled headers a target of their own.
+#include "headers.hpp"
