--- a/src/app/main.cpp
+++ b/src/app/main.cpp
@@ -20,7 +20,7 @@
 constexpr int kExitFailure = 1;
 constexpr int kExitSettings = 2;
 constexpr double kClientTimeoutS = 5;
-constexpr double kIdleShare = 0.1;  // of the sockets: kept open to workers between two requests
+constexpr std::size_t kServiceSockets = 16;  // to the state service and the cloud, at least
 
 std::string log_level() {
   const char* level = std::getenv("LOG_LEVEL");
@@ -38,16 +38,23 @@
   const auto log = runtime::make_log("bankhill", log_level());
   runtime::EventLoop loop;
   const std::uint64_t incarnation = loop.random()() >> 1;
-  net::EvhttpClient client(loop, log,
-                           static_cast<std::size_t>(kIdleShare * static_cast<double>(settings.sockets)));
+  const auto share = [&](double part) {
+    return static_cast<std::size_t>(std::max(1.0, part * static_cast<double>(settings.sockets)));
+  };
+  // What the three kinds below leave. Direct orders must not make the state service wait.
+  const double rest =
+      1 - settings.own.worker_sockets - settings.own.user_sockets - settings.own.direct_sockets;
+  net::EvhttpClient client(loop, log, std::max(kServiceSockets, share(rest / 2)));
+  net::EvhttpClient to_workers(loop, log, share(settings.own.direct_sockets));
   std::vector<net::Sibling> siblings;
   for (const auto& sibling : settings.siblings) siblings.push_back({sibling.host_name, sibling.addr});
   net::PeerLink peers(loop, log, settings.host_name, incarnation, settings.peer_listen, std::move(siblings),
                       settings.pace_s);
-  app::Node node(loop, log, settings, incarnation, client, peers);
+  app::Node node(loop, log, settings, incarnation, client, to_workers, peers);
   // Workers and users may be silent between requests for several report intervals.
   net::EvhttpServer server(
-      loop, settings.api_addr, settings.lease_s,
+      loop, log, settings.api_addr, settings.lease_s,
+      {share(settings.own.worker_sockets), share(settings.own.user_sockets)},
       [&node](net::Request request, net::Reply reply) { node.handle(std::move(request), std::move(reply)); });
   log->info("bankhill {}: {} in {} serves on {}", BANKHILL_VERSION, settings.host_name, settings.zone,
             settings.api_addr);
@@ -58,7 +65,7 @@
 // One request to a controller, for the client commands; prints the answer.
 int ask(const std::string& server, net::Method method, const std::string& path, const std::string& body) {
   runtime::EventLoop loop;
-  net::EvhttpClient client(loop, runtime::make_log("bankhill", log_level()), 1);
+  net::EvhttpClient client(loop, runtime::make_log("bankhill", log_level()), 2);
   net::Response answer;
   client.send(server, {method, path, body}, kClientTimeoutS, [&](net::Response response) {
     answer = std::move(response);
--- a/src/app/node.cpp
+++ b/src/app/node.cpp
@@ -1,11 +1,36 @@
 #include "app/node.hpp"
 
+#include <algorithm>
 #include <utility>
 
 namespace bankhill::app {
 
 namespace {
 
+double worker_capacity(const Settings& settings) {
+  return std::max(1.0, settings.own.worker_sockets * static_cast<double>(settings.sockets));
+}
+
+// Beyond one connection a worker, connections are closed between reports and serve several workers in turn.
+constexpr double kWorkersAConnection = 3;
+
+std::size_t most_machines(const Settings& settings) {
+  return static_cast<std::size_t>(kWorkersAConnection * worker_capacity(settings) *
+                                  static_cast<double>(settings.controllers));
+}
+
+leader::Reported::Via via_of(workers::Desk::Via via) {
+  switch (via) {
+    case workers::Desk::Via::worker:
+      return leader::Reported::Via::worker;
+    case workers::Desk::Via::sibling:
+      return leader::Reported::Via::sibling;
+    case workers::Desk::Via::delegate:
+      break;
+  }
+  return leader::Reported::Via::delegate;
+}
+
 leader::Settings leader_settings(const Settings& settings, std::uint64_t incarnation) {
   leader::Settings result;
   result.node = settings.host_name;
@@ -16,6 +41,7 @@
   result.cancel_s = settings.cancel_s;
   result.list_lag_s = settings.list_lag_s;
   result.controllers = settings.controllers;
+  result.most_machines = most_machines(settings);
   result.main_zone = settings.main_zone;
   result.txn_ops = settings.state_txn_ops;
   result.value_kb = settings.state_value_kb;
@@ -45,8 +71,9 @@
 }  // namespace
 
 Node::Node(runtime::Loop& loop, runtime::Log log, const Settings& settings, std::uint64_t incarnation,
-           net::Client& client, net::PeerPort& peers)
-    : store_(loop, client, log, settings.state,
+           net::Client& client, net::Client& workers, net::PeerPort& peers)
+    : spread_workers_(settings.own.spread_workers),
+      store_(loop, client, log, settings.state,
              {settings.state_rps, settings.state_write_rps, settings.state_value_kb, settings.state_txn_ops,
               settings.controllers}),
       cloud_(loop, client, log, settings.cloud, settings.cloud_rps),
@@ -56,9 +83,14 @@
                 route(std::move(request), std::move(reply), true);
               },
               [this] {
-                return wire::Beat{leader_.term(), gateway_.state_ok(), leader_.valid()};
+                return wire::Beat{leader_.term(), gateway_.state_ok(), leader_.valid(),
+                                  spread_workers_ ? wire::kFeatureDelegation : std::uint8_t{0}};
               },
-              [this](wire::Progress progress) { gateway_.tell(gateway::Progressed{std::move(progress)}); }}),
+              [this] { return desk_.load(); },
+              [this](wire::Progress progress) { gateway_.tell(gateway::Progressed{std::move(progress)}); },
+              [this](const std::string& node, wire::Frame frame) {
+                desk_.tell(workers::FromSibling{node, std::move(frame)});
+              }}),
       elector_(
           loop, store_, log, settings.host_name, incarnation,
           election::timing_from(settings.lease_s, settings.cancel_s),
@@ -67,16 +99,19 @@
           },
           [this] { return relay_.any_sibling(); }),
       leader_(loop, log, leader_settings(settings, incarnation),
-              {store_, cloud_, client, [this] { elector_.tell(election::RaiseTerm{}); },
+              {store_, cloud_, workers, [this] { elector_.tell(election::RaiseTerm{}); },
                [this] { elector_.tell(election::Resign{}); }, [this] { return relay_.any_sibling(); },
                [this](wire::Progress progress) {
                  gateway_.tell(gateway::Progressed{progress});
                  relay_.tell(net::Broadcast{std::move(progress)});
                }}),
-      desk_(loop, log, settings.host_name, settings.report_s, settings.pace_s,
-            {relay_, [this] { return leader_.valid(); },
-             [this](wire::Report report, net::Reply reply, bool relayed) {
-               leader_.tell(leader::Reported{std::move(report), std::move(reply), relayed});
+      desk_(loop, log,
+            {settings.host_name, settings.zone, settings.report_s, settings.pace_s, worker_capacity(settings),
+             settings.own.spread_workers},
+            {relay_, peers, [this] { return leader_.valid(); },
+             [this](wire::Report report, std::uint64_t base, delegation::RulingReply reply,
+                    workers::Desk::Via via) {
+               leader_.tell(leader::Reported{std::move(report), base, std::move(reply), via_of(via)});
              }}),
       gateway_(loop, log, store_, relay_, limits(settings), settings.own.final_states_kept) {
   peers.listen([this](const std::string& node, wire::Frame frame) {
@@ -93,6 +128,7 @@
   elector_.start();
   leader_.start();
   relay_.start();
+  desk_.start();
 }
 
 void Node::route(net::Request request, net::Reply reply, bool relayed) {
--- a/src/app/node.hpp
+++ b/src/app/node.hpp
@@ -18,8 +18,9 @@
 
 class Node {
  public:
+  // `client` asks the state service and the cloud, `workers` the workers.
   Node(runtime::Loop& loop, runtime::Log log, const Settings& settings, std::uint64_t incarnation,
-       net::Client& client, net::PeerPort& peers);
+       net::Client& client, net::Client& workers, net::PeerPort& peers);
   void start();
   // Serves a request of a user, a worker or the load balancer.
   void handle(net::Request request, net::Reply reply) { route(std::move(request), std::move(reply), false); }
@@ -29,6 +30,7 @@
  private:
   void route(net::Request request, net::Reply reply, bool relayed);
 
+  bool spread_workers_;
   state::Store store_;
   cloud::Cloud cloud_;
   net::Relay relay_;
--- a/src/app/settings.cpp
+++ b/src/app/settings.cpp
@@ -16,6 +16,7 @@
 namespace {
 
 constexpr double kPacesInLease = 14;
+constexpr double kMostShared = 0.95;  // of the sockets
 
 const Json& section(const Json& object, const char* name) {
   const auto found = object.find(name);
@@ -165,6 +166,10 @@
       {"idle_boots", 0, 1000, [&](double value) { own.idle_boots = value; }},
       {"final_states_kept", 100, 1e7,
        [&](double value) { own.final_states_kept = static_cast<std::size_t>(value); }},
+      {"worker_sockets", 0.01, 0.9, [&](double value) { own.worker_sockets = value; }},
+      {"user_sockets", 0.01, 0.9, [&](double value) { own.user_sockets = value; }},
+      {"direct_sockets", 0.01, 0.9, [&](double value) { own.direct_sockets = value; }},
+      {"spread_workers", 0, 1, [&](double value) { own.spread_workers = value != 0; }},
   };
   try {
     const YAML::Node root = YAML::Load(yaml_text);
@@ -180,6 +185,10 @@
         throw BadSettings("operator settings: '" + name + "' is out of range");
       key->set(value);
     }
+    if (own.worker_sockets + own.user_sockets + own.direct_sockets > kMostShared)
+      throw BadSettings(
+          "operator settings: worker_sockets, user_sockets and direct_sockets leave less than a "
+          "twentieth of the sockets");
   } catch (const YAML::Exception& error) {
     throw BadSettings(std::string("operator settings: ") + error.what());
   }
--- a/src/leader/fleet.cpp
+++ b/src/leader/fleet.cpp
@@ -206,9 +206,12 @@
     if (!may_start(job) || !team_has_room(job)) continue;
     const bool coming = std::any_of(fleet_.pools().begin(), fleet_.pools().end(), [&](const auto& entry) {
       const auto& [pool, state] = entry;
-      return model::allows(job.spec, pool) &&
-             ((state.sums.coming > 0 && job.spec.need.fits(state.size)) ||
-              (!state.open.empty() && job.spec.need.fits(state.open.rbegin()->machine->room())));
+      if (!model::allows(job.spec, pool)) return false;
+      if (state.sums.coming > 0 && job.spec.need.fits(state.size)) return true;
+      // A machine that its tasks failed on takes no more of it: where all have, it waited for ever.
+      const auto* roomiest = state.open.empty() ? nullptr : state.open.rbegin()->machine;
+      return roomiest != nullptr && job.spec.need.fits(roomiest->room()) &&
+             !job.failed_on.contains(roomiest->host);
     });
     if (coming) continue;
     planner::Work item;
@@ -285,8 +288,27 @@
   ++tally_["machines surplus"];
 }
 
+// Machines that may be rented before the fleet is as large as the controllers can take the reports of: a
+// fleet beyond that would not be served worse, but not at all.
+double Leader::carried_room() {
+  const auto& total = fleet_.total();
+  double there = static_cast<double>(total.up + total.coming);
+  for (const auto& [name, rental] : rentals_)
+    if (!rental.record.hosts) there += rental.record.count;
+  const double room = static_cast<double>(settings_.most_machines) - there;
+  const bool full = room < 1;
+  if (full && !at_most_machines_)
+    log_->warn("fleet: {:.0f} machines are all that these controllers' sockets can serve; renting no more",
+               there);
+  if (!full && at_most_machines_) log_->info("fleet: below what these controllers can serve again");
+  at_most_machines_ = full;
+  return std::max(0.0, room);
+}
+
 double Leader::rent(const planner::Offer& offer, bool reclaimable, double count) {
   const double now = loop().now();
+  count = std::min(count, carried_room());
+  if (count < 1) return 0;
   std::vector<std::string> zones;
   for (const auto& zone : offer.flavor.rack_rooms) {
     const auto out = stockouts_.find({offer.flavor.name, zone, reclaimable});
--- a/src/leader/leader.cpp
+++ b/src/leader/leader.cpp
@@ -130,7 +130,7 @@
 void Leader::end_reign() {
   log_->warn("leader: end of reign, term {}", term_);
   reigning_ = false;
-  for (auto& waiting : awaiting_) waiting.reply({503, "{}", 1.0});
+  for (auto& waiting : awaiting_) waiting.reply({});
   forget_reign();
 }
 
--- a/src/leader/leader.hpp
+++ b/src/leader/leader.hpp
@@ -39,7 +39,8 @@
   double cancel_s = 60;
   double list_lag_s = 5;
   std::size_t controllers = 1;
-  std::string main_zone;  // that has the most controllers; empty if no zone has
+  std::size_t most_machines = 100'000;  // that all controllers together can take the reports of
+  std::string main_zone;                // that has the most controllers; empty if no zone has
   std::size_t txn_ops = 16;
   double value_kb = 8;
   std::size_t final_states_kept = 20000;
@@ -63,10 +64,12 @@
   std::uint64_t hold = 0;
   double until = 0;
 };
+using RulingReply = std::function<void(wire::Ruling)>;
 struct Reported {
   wire::Report report;
-  net::Reply reply;
-  bool relayed = false;  // by a sibling, since the worker cannot reach this controller
+  std::uint64_t base = 0;  // not 0: brief, all else is as in the report of that counter (invariant 19)
+  RulingReply reply;
+  enum class Via { worker, sibling, delegate } via = Via::worker;  // sibling: since it cannot reach us
 };
 
 class Leader : public runtime::Actor<Leader, Changed, Valid, Reported> {
@@ -124,7 +127,7 @@
   struct Awaiting {  // a report whose answer waits for the placement under way
     wire::HostId host;
     std::uint64_t counter = 0;
-    net::Reply reply;
+    RulingReply reply;
   };
   struct Rental {
     wire::RentalRecord record;
@@ -211,6 +214,9 @@
   void record(model::Machine& machine);
   void forget_record(model::Machine& machine);
   bool apply(model::Machine& machine, const wire::Report& report, bool direct);
+  bool apply_brief(const wire::Report& report, std::uint64_t base);
+  void heard(model::Machine& machine, const wire::Report& report, bool direct);
+  wire::Ruling granted(std::vector<wire::Order> orders) const;
   void apply_member(model::Machine& machine, const wire::MemberReport& member);
   void exited(model::Machine& machine, const wire::MemberReport& member);
   void finish(model::Job& job, std::uint32_t index, std::function<void()> then);
@@ -223,7 +229,7 @@
   void stop(model::Machine& machine, model::Bind& bind, double wind_down_s);
   void stop_all(const model::Job& job);
   void add_bind(model::Machine& machine, model::Bind bind);
-  void answer_report(model::Machine& machine, std::uint64_t counter, const net::Reply& reply);
+  void answer_report(model::Machine& machine, std::uint64_t counter, const RulingReply& reply);
   std::vector<wire::Order> orders_for(model::Machine& machine, std::uint64_t answered_counter);
   void send_direct(model::Machine& machine, std::vector<wire::Order> orders, Then over = {});
   void direct_answered(const wire::HostId& host, const std::vector<wire::Order>& orders, wire::Fence fence,
@@ -256,6 +262,7 @@
   double longest_boot_s() const;
   void top_up(const planner::Plan& plan, const std::vector<planner::Offer>& offers, bool waiting);
   double rent(const planner::Offer& offer, bool reclaimable, double count);
+  double carried_room();
   void spare_steady(double missing);
   void recall_surplus(double& missing);
   void spare(model::Machine& machine);
@@ -352,6 +359,7 @@
   double raised_at_ = 0;
   bool listing_ = false;
   bool releasing_ = false;
+  bool at_most_machines_ = false;
   double next_round_ = 0;
   double next_list_ = 0;
   double next_catalogue_ = 0;
--- a/src/leader/placement.cpp
+++ b/src/leader/placement.cpp
@@ -244,7 +244,7 @@
         break;
       if (machine == nullptr) {
         waiting = true;
-        job.reason = "no machine has room yet";
+        if (!job.faulty) job.reason = "no machine has room yet";
         if (!hopeless && !passed && !job.spec.flavors && !job.spec.rack_room)
           full.push_back({job.spec.need, job.spec.reclaimable});
         if (!job.faulty) make_room(job, false);
@@ -271,7 +271,7 @@
   for (auto& waiting : std::exchange(awaiting_, {})) {
     auto* machine = fleet_.find(waiting.host);
     if (machine == nullptr || !valid())
-      waiting.reply({503, "{}", 1.0});
+      waiting.reply({});
     else
       answer_report(*machine, waiting.counter, waiting.reply);
   }
--- a/src/leader/reports.cpp
+++ b/src/leader/reports.cpp
@@ -29,27 +29,27 @@
 constexpr double kRegularReport =
     0.7;  // of the report interval: after this it is not a change that is reported
 constexpr std::size_t kMaxOrders = 400;  // keeps an answer below 64 KiB
+}  // namespace
 
-net::Response answer(std::uint64_t fence, const std::vector<Order>& orders) {
-  return {200, wire::Json{{"fence", fence}, {"orders", to_json(orders)}}.dump(), std::nullopt};
+wire::Ruling Leader::granted(std::vector<Order> orders) const {
+  return {0, wire::Verdict::granted, wire::Fence{term_}, std::move(orders)};
 }
-}  // namespace
 
 void Leader::on(Reported& message) {
-  if (!valid()) return message.reply({503, "{}", 1.0});
+  if (!valid()) return message.reply({});
   const auto& report = message.report;
-  if (message.relayed)
-    ++unanswered_;
-  else
-    heard_directly_ = loop().now();
+  if (message.via == Reported::Via::sibling) ++unanswered_;
+  if (message.via == Reported::Via::worker) heard_directly_ = loop().now();
   // A machine that a release has ended speaks no more; this is an old message.
-  if (gone_.contains(report.host)) return message.reply(answer(term_, {}));
-  auto& machine = machine_for(report);
-  const bool news = apply(machine, report, false);
+  if (gone_.contains(report.host)) return message.reply(granted({}));
+  if (message.base != 0 && !apply_brief(report, message.base))
+    return message.reply({0, wire::Verdict::in_full, {}, {}});
+  auto& machine = message.base != 0 ? *fleet_.find(report.host) : machine_for(report);
+  const bool news = message.base != 0 || apply(machine, report, false);
   // An answer with a valid fence extends the worker's lease whatever it holds: also when a direct answer has
   // overtaken the report. Else its tasks would be started elsewhere while they still run (invariant 6).
   if (report.tenure >= machine.tenure) machine.last_answered = loop().now();
-  if (!news) return message.reply(answer(term_, {}));
+  if (!news) return message.reply(granted({}));
   // What is placed now goes out with the answer: that spares a request and a report for each task.
   if (!ready_.empty() && machine.takes_tasks() && machine.room().cores > 0) {
     awaiting_.push_back({machine.host, report.counter, std::move(message.reply)});
@@ -58,8 +58,38 @@
   answer_report(machine, report.counter, message.reply);
 }
 
-void Leader::answer_report(Machine& machine, std::uint64_t counter, const net::Reply& reply) {
-  reply(answer(term_, orders_for(machine, counter)));
+void Leader::answer_report(Machine& machine, std::uint64_t counter, const RulingReply& reply) {
+  reply(granted(orders_for(machine, counter)));
+}
+
+// Invariant 19: a brief report says that all but the counter is as in the report of counter `base`. It is
+// taken only where that is the last list of tasks that was applied here, in this session and this reign, and
+// nothing waits for a list that is newer; else it must be sent in full. False: in full.
+bool Leader::apply_brief(const wire::Report& report, std::uint64_t base) {
+  auto* machine = fleet_.find(report.host);
+  if (machine == nullptr || !machine->up || !machine->recorded || !machine->confirmed || machine->lost ||
+      machine->tenure != report.tenure || machine->listed_counter != base ||
+      report.counter <= machine->counter)
+    return false;
+  const bool taken_back = std::any_of(machine->binds.begin(), machine->binds.end(), [](const auto& entry) {
+    return entry.second.stopping && entry.second.phase == BindPhase::sent;
+  });
+  if (taken_back) return false;
+  const bool was_quiet = machine->quiet;
+  heard(*machine, report, false);
+  if (was_quiet) fleet_.refresh(*machine);
+  return true;
+}
+
+void Leader::heard(Machine& machine, const wire::Report& report, bool direct) {
+  const double now = loop().now();
+  machine.counter = report.counter;
+  machine.seen = std::max(machine.seen, report.fence);
+  if (!direct) machine.regular = now - machine.last_report >= kRegularReport * settings_.report_s;
+  if (!direct) machine.last_report = now;
+  machine.last_contact = now;
+  machine.probes_unanswered = 0;
+  machine.lost = machine.quiet = false;
 }
 
 Machine& Leader::machine_for(const wire::Report& report) {
@@ -97,13 +127,8 @@
   // direct answer would bring back a machine whose lease seems to have run out long ago.
   if (session_begun || machine.lost) machine.last_answered = std::max(machine.last_answered, now);
   machine.tenure = report.tenure;
-  machine.counter = report.counter;
-  machine.seen = std::max(machine.seen, report.fence);
-  if (!direct) machine.regular = now - machine.last_report >= kRegularReport * settings_.report_s;
-  if (!direct) machine.last_report = now;
-  machine.last_contact = now;
-  machine.probes_unanswered = 0;
-  machine.lost = machine.quiet = false;
+  machine.listed_counter = report.counter;
+  heard(machine, report, direct);
   if (!machine.confirmed && machine.seen.value >= first_term_) {
     // From here on nothing that an earlier leader ordered can take effect (invariant 5).
     machine.confirmed = true;
--- a/src/model/machine.hpp
+++ b/src/model/machine.hpp
@@ -92,6 +92,7 @@
 
   wire::Tenure tenure;
   std::uint64_t counter = 0;
+  std::uint64_t listed_counter = 0;  // of the last report whose list of tasks was applied
   wire::Fence seen;
   double first_seen = 0;     // steady clock
   double last_contact = 0;   // last new report or direct answer
--- a/src/net/evhttp_client.cpp
+++ b/src/net/evhttp_client.cpp
@@ -26,12 +26,13 @@
   std::uint64_t id = 0;
   std::string address;
   Connection connection;
+  Request request;
   Reply reply;
   runtime::Timer deadline;
 };
 
-EvhttpClient::EvhttpClient(runtime::EventLoop& loop, runtime::Log log, std::size_t idle_limit)
-    : loop_(loop), log_(std::move(log)), idle_limit_(std::max<std::size_t>(1, idle_limit)) {}
+EvhttpClient::EvhttpClient(runtime::EventLoop& loop, runtime::Log log, std::size_t open_limit)
+    : loop_(loop), log_(std::move(log)), open_limit_(std::max<std::size_t>(2, open_limit)) {}
 
 EvhttpClient::~EvhttpClient() {
   // Freeing a connection calls back for its pending request: those must find nothing.
@@ -67,7 +68,11 @@
     idle.pop_front();
   }
   // A worker is asked now and then only: connections to thousands must not use up the sockets.
-  while (idle_order_.size() > idle_limit_) {
+  trim_idle(open_limit_ / 2);
+}
+
+void EvhttpClient::trim_idle(std::size_t most) {
+  while (idle_order_.size() > most) {
     const auto oldest = idle_order_.begin();
     const auto found = idle_.find(oldest->second);
     found->second.pop_front();
@@ -83,12 +88,23 @@
   exchange->id = id;
   exchange->address = address;
   exchange->reply = std::move(reply);
-  exchange->connection = take_connection(address);
-  if (!exchange->connection) {
-    loop_.post([reply = std::move(exchange->reply)] { reply(Response{}); });
-    return;
-  }
+  exchange->request = std::move(request);
   exchange->deadline = loop_.after(timeout_s, [this, id] { finish(id, Response{}, false); });
+  exchanges_[id] = std::move(exchange);
+  if (in_use_ < open_limit_)
+    begin(id);
+  else
+    queued_.push_back(id);
+}
+
+void EvhttpClient::begin(std::uint64_t id) {
+  auto* exchange = exchanges_.at(id).get();
+  const auto& address = exchange->address;
+  const auto& request = exchange->request;
+  exchange->connection = take_connection(address);
+  if (!exchange->connection) return loop_.post([this, id] { finish(id, Response{}, false); });
+  ++in_use_;
+  if (idle_order_.size() + in_use_ > open_limit_) trim_idle(open_limit_ - in_use_);
   evhttp_request* raw = evhttp_request_new(
       [](evhttp_request* answer, void* context) {
         auto* done = static_cast<Exchange*>(context);
@@ -105,7 +121,7 @@
         }
         done->client->finish(done->id, std::move(response), reusable);
       },
-      exchange.get());
+      exchange);
   auto* headers = evhttp_request_get_output_headers(raw);
   evhttp_add_header(headers, "Host", address.c_str());
   if (request.method == Method::post) {
@@ -116,7 +132,6 @@
                        : request.method == Method::del ? EVHTTP_REQ_DELETE
                                                        : EVHTTP_REQ_GET;
   auto* connection = exchange->connection.get();
-  exchanges_[id] = std::move(exchange);
   // On failure evhttp has freed the request without calling back.
   if (evhttp_make_request(connection, raw, command, request.path.c_str()) != 0)
     loop_.post([this, id] { finish(id, Response{}, false); });
@@ -131,10 +146,16 @@
   exchange->deadline.reset();
   auto reply = std::move(exchange->reply);
   const std::string exchange_address = exchange->address;
+  if (exchange->connection) --in_use_;
   // evhttp still works on this connection while it calls back: free it on a later turn.
   loop_.post([this, exchange, reusable]() mutable {
     if (reusable) keep(exchange->address, std::move(exchange->connection));
     exchange.reset();
+    while (in_use_ < open_limit_ && !queued_.empty()) {
+      const auto next = queued_.front();
+      queued_.pop_front();
+      if (exchanges_.contains(next)) begin(next);  // else its time has run out
+    }
   });
   try {
     reply(std::move(response));
--- a/src/net/evhttp_server.cpp
+++ b/src/net/evhttp_server.cpp
@@ -27,13 +27,14 @@
   Pending(const Pending&) = delete;
   Pending& operator=(const Pending&) = delete;
   ~Pending() {
-    if (request_ != nullptr) answer(Response{503, "{}", 1.0});
+    if (request_ != nullptr) answer(Response{503, "{}", 1.0}, true);
   }
-  void answer(const Response& response) {
+  void answer(const Response& response, bool close) {
     auto* request = std::exchange(request_, nullptr);
     if (request == nullptr) return;
     auto* headers = evhttp_request_get_output_headers(request);
     evhttp_add_header(headers, "Content-Type", "application/json");
+    if (close) evhttp_add_header(headers, "Connection", "close");
     if (response.retry_after_s)
       evhttp_add_header(headers, "Retry-After",
                         fmt::format("{}", std::ceil(*response.retry_after_s)).c_str());
@@ -61,9 +62,12 @@
 
 }  // namespace
 
-EvhttpServer::EvhttpServer(runtime::EventLoop& loop, const std::string& address, double idle_timeout_s,
-                           Handler handler)
-    : server_(evhttp_new(loop.base())), handler_(std::move(handler)) {
+EvhttpServer::EvhttpServer(runtime::EventLoop& loop, runtime::Log log, const std::string& address,
+                           double idle_timeout_s, SocketShares shares, Handler handler)
+    : log_(std::move(log)),
+      shares_{Share{"workers", shares.workers}, Share{"users", shares.users}},
+      handler_(std::move(handler)),
+      server_(evhttp_new(loop.base())) {
   const auto colon = address.rfind(':');
   unsigned port = 0;
   if (colon != std::string::npos)
@@ -89,10 +93,46 @@
   request.method = method_of(raw);
   request.path = evhttp_request_get_uri(raw);
   evbuffer* input = evhttp_request_get_input_buffer(raw);
-  if (evbuffer_get_length(input) > wire::kMaxBody) return pending->answer({413, "{}", std::nullopt});
+  const auto kind = count(raw, request.path);
+  if (evbuffer_get_length(input) > wire::kMaxBody)
+    return pending->answer({413, "{}", std::nullopt}, past_share(kind));
   request.body.resize(evbuffer_get_length(input));
   if (!request.body.empty()) evbuffer_copyout(input, request.body.data(), request.body.size());
-  handler_(std::move(request), [pending](const Response& response) { pending->answer(response); });
+  handler_(std::move(request),
+           [this, pending, kind](const Response& response) { pending->answer(response, past_share(kind)); });
+}
+
+EvhttpServer::Kind EvhttpServer::count(evhttp_request* raw, const std::string& path) {
+  auto* connection = evhttp_request_get_connection(raw);
+  if (connection == nullptr) return user;
+  const auto [entry, added] = connections_.try_emplace(connection, path == "/v1/report" ? worker : user);
+  if (!added) return entry->second;
+  ++shares_[entry->second].open;
+  evhttp_connection_set_closecb(
+      connection, [](evhttp_connection* gone, void* self) { static_cast<EvhttpServer*>(self)->closed(gone); },
+      this);
+  return entry->second;
+}
+
+void EvhttpServer::closed(evhttp_connection* connection) {
+  const auto found = connections_.find(connection);
+  if (found == connections_.end()) return;
+  auto& share = shares_[found->second];
+  connections_.erase(found);
+  --share.open;
+  if (share.full && share.open < share.most - share.most / 4) {
+    share.full = false;
+    log_->info("sockets: {} within their share again, {} of {}", share.name, share.open, share.most);
+  }
+}
+
+bool EvhttpServer::past_share(Kind kind) {
+  auto& share = shares_[kind];
+  if (share.open <= share.most) return false;
+  if (!std::exchange(share.full, true))
+    log_->warn("sockets: {} have {} connections of {}, closing theirs between requests", share.name,
+               share.open, share.most);
+  return true;
 }
 
 }  // namespace bankhill::net
--- a/src/net/http.hpp
+++ b/src/net/http.hpp
@@ -23,6 +23,9 @@
   std::optional<double> retry_after_s;
 };
 
+// The protocol's own times, in seconds: a worker drops an answer that takes longer.
+constexpr double kWorkerWaitS = 4;
+
 using Reply = std::function<void(Response)>;
 using Handler = std::function<void(Request, Reply)>;
 
--- a/src/net/relay.cpp
+++ b/src/net/relay.cpp
@@ -6,13 +6,24 @@
 namespace bankhill::net {
 
 Relay::Relay(runtime::Loop& loop, std::vector<std::string> siblings, double beat_s, Ports ports)
-    : Actor(loop), siblings_(std::move(siblings)), beat_s_(beat_s), ports_(std::move(ports)) {}
+    : Actor(loop),
+      siblings_(std::move(siblings)),
+      beat_s_(beat_s),
+      ports_(std::move(ports)),
+      next_id_(loop.random()() >> 1) {}
 
 void Relay::start() { beat(); }
 
 void Relay::beat() {
   const auto frame = ports_.beat();
-  for (const auto& node : siblings_) ports_.peers.send(node, frame);
+  const auto load = ports_.load();
+  for (const auto& node : siblings_) {
+    ports_.peers.send(node, frame);
+    // Only those whose beats say that they understand it, see wire/frames.hpp.
+    const auto heard = heard_.find(node);
+    if (heard != heard_.end() && fresh(heard->second) && heard->second.delegates)
+      ports_.peers.send(node, load);
+  }
   beat_timer_ = loop().after(beat_s_ * loop().uniform(0.9, 1.1), guard([this] { beat(); }));
 }
 
@@ -28,7 +39,14 @@
 
 void Relay::on(Received& message) {
   if (auto* beat = std::get_if<wire::Beat>(&message.frame)) {
-    heard_[message.node] = {*beat, loop().now()};
+    auto& heard = heard_[message.node];
+    // What it understands is told only while it reaches the state service; until then it is as before, unless
+    // it was silent so long that another version may have come in its place.
+    if (beat->state_ok || !fresh(heard)) heard.delegates = (beat->features & wire::kFeatureDelegation) != 0;
+    heard.beat = *beat;
+    heard.at = loop().now();
+  } else if (auto* load = std::get_if<wire::Load>(&message.frame)) {
+    heard_[message.node].load = std::move(*load);
   } else if (auto* call = std::get_if<wire::Call>(&message.frame)) {
     Request request{call->post ? Method::post : Method::get, std::move(call->path), std::move(call->body)};
     ports_.handler(std::move(request),
@@ -44,9 +62,19 @@
     answer(reply->id, std::move(response));
   } else if (auto* progress = std::get_if<wire::Progress>(&message.frame)) {
     ports_.progress(std::move(*progress));
+  } else if (std::holds_alternative<wire::Reports>(message.frame) ||
+             std::holds_alternative<wire::Rulings>(message.frame)) {
+    ports_.delegation(message.node, std::move(message.frame));
   }
 }
 
+std::vector<SiblingState> Relay::siblings() const {
+  std::vector<SiblingState> result;
+  for (const auto& [node, heard] : heard_)
+    result.push_back({node, loop().now() - heard.at, fresh(heard), heard.delegates, heard.load});
+  return result;
+}
+
 void Relay::on(RelayCall& message) {
   const auto id = next_id_++;
   const bool sent = ports_.peers.send(message.node, wire::Call{id, message.request.method == Method::post,
--- a/src/net/relay.hpp
+++ b/src/net/relay.hpp
@@ -26,13 +26,24 @@
   wire::Progress progress;
 };
 
+// A sibling as its beats show it.
+struct SiblingState {
+  std::string node;
+  double silence_s = 0;    // since its last beat
+  bool fresh = false;      // its beats come
+  bool delegates = false;  // it understands frames of delegation
+  wire::Load load;         // capacity 0: takes no workers now
+};
+
 class Relay : public runtime::Actor<Relay, Received, RelayCall, Broadcast> {
  public:
   struct Ports {
     PeerPort& peers;
     Handler handler;                               // serves what siblings relay
     std::function<wire::Beat()> beat;              // what to tell the siblings now
+    std::function<wire::Load()> load;              // the same, to those who understand it
     std::function<void(wire::Progress)> progress;  // what the leader tells
+    std::function<void(const std::string& node, wire::Frame)> delegation;  // Reports and Rulings
   };
 
   Relay(runtime::Loop& loop, std::vector<std::string> siblings, double beat_s, Ports ports);
@@ -41,6 +52,9 @@
   // A sibling heard of lately that reaches the state service; empty if there is none.
   std::string sibling_with_state() const;
   bool any_sibling() const;
+  // Those that were heard at all.
+  std::vector<SiblingState> siblings() const;
+  double beat_s() const { return beat_s_; }
 
   void on(Received& message);
   void on(RelayCall& message);
@@ -50,6 +64,8 @@
   struct Heard {
     wire::Beat beat;
     double at = -1e9;
+    bool delegates = false;
+    wire::Load load;
   };
   struct Waiting {
     Reply reply;
@@ -64,7 +80,7 @@
   Ports ports_;
   std::map<std::string, Heard> heard_;
   std::map<std::uint64_t, Waiting> waiting_;
-  std::uint64_t next_id_ = 1;
+  std::uint64_t next_id_;  // begins elsewhere in each process: an answer for an earlier one finds nothing
   runtime::Timer beat_timer_;
 };
 
--- a/src/wire/frames.cpp
+++ b/src/wire/frames.cpp
@@ -1,5 +1,7 @@
 #include "wire/frames.hpp"
 
+#include <algorithm>
+#include <cmath>
 #include <cstring>
 
 namespace bankhill::wire {
@@ -35,6 +37,10 @@
   std::string_view rest_;
 };
 
+std::uint32_t millis(double seconds) {
+  return static_cast<std::uint32_t>(std::clamp(std::llround(seconds * 1000), 0LL, 0xFFFFFFFELL));
+}
+
 struct Encoder {
   std::string payload;
   template <class Body>
@@ -45,8 +51,8 @@
     add(HelloBody{hello.incarnation, static_cast<std::uint16_t>(hello.node.size())}, hello.node);
   }
   void operator()(const Beat& beat) {
-    add(BeatBody{beat.term, static_cast<std::uint8_t>(beat.state_ok),
-                 static_cast<std::uint8_t>(beat.leading)});
+    const auto state = beat.state_ok ? 1U | static_cast<unsigned>(beat.features) << 1U : 0U;
+    add(BeatBody{beat.term, static_cast<std::uint8_t>(state), static_cast<std::uint8_t>(beat.leading)});
   }
   void operator()(const Call& call) {
     add(CallBody{call.id, static_cast<std::uint8_t>(call.post), static_cast<std::uint16_t>(call.path.size()),
@@ -63,8 +69,129 @@
                      static_cast<std::uint16_t>(progress.reason.size())},
         progress.job, progress.reason);
   }
+  void operator()(const Load& load) {
+    add(LoadBody{load.workers, load.capacity, static_cast<std::uint16_t>(load.zone.size())}, load.zone);
+  }
+  void operator()(const Reports& reports) {
+    add(BundleBody{static_cast<std::uint16_t>(reports.items.size())});
+    for (const auto& item : reports.items) {
+      const auto& report = item.report;
+      add(ReportBody{item.id, item.base, report.tenure.value, report.counter, report.fence.value,
+                     static_cast<std::uint16_t>(report.host.value.size())},
+          report.host.value);
+      if (item.base == 0) add_rest(report);
+    }
+  }
+  void add_rest(const Report& report) {
+    add(FullReportBody{static_cast<std::uint8_t>(report.reclaimable),
+                       report.warning_s ? millis(*report.warning_s) : kNoWarning,
+                       static_cast<std::uint16_t>(report.address.size()),
+                       static_cast<std::uint16_t>(report.flavor.size()),
+                       static_cast<std::uint16_t>(report.rack_room.size()),
+                       static_cast<std::uint32_t>(report.members.size())},
+        report.address, report.flavor);
+    payload.append(report.rack_room);
+    for (const auto& member : report.members)
+      add(MemberBody{member.member.index, member.try_no.value, static_cast<std::uint8_t>(member.phase),
+                     static_cast<std::uint8_t>(member.cause), static_cast<std::uint8_t>(member.kept),
+                     static_cast<std::uint16_t>(member.member.job.value.size())},
+          member.member.job.value);
+  }
+  void operator()(const Rulings& rulings) {
+    add(BundleBody{static_cast<std::uint16_t>(rulings.items.size())});
+    for (const auto& ruling : rulings.items) {
+      add(RulingBody{ruling.id, static_cast<std::uint8_t>(ruling.verdict), ruling.fence.value,
+                     static_cast<std::uint16_t>(ruling.orders.size())});
+      for (const auto& order : ruling.orders)
+        add(OrderBody{static_cast<std::uint8_t>(order.verb), order.member.index, order.try_no.value,
+                      millis(order.wind_down_s), static_cast<std::uint16_t>(order.member.job.value.size())},
+            order.member.job.value);
+    }
+  }
 };
 
+template <class Enum>
+bool read_enum(std::uint8_t byte, Enum last, Enum& value) {
+  if (byte > static_cast<std::uint8_t>(last)) return false;
+  value = static_cast<Enum>(byte);
+  return true;
+}
+
+// A job's name must have the documented form: what is read here is used without another check.
+bool read_member(Cursor& cursor, std::size_t job_length, std::uint32_t index, MemberId& member) {
+  std::string job;
+  if (!cursor.read(job, job_length)) return false;
+  const auto id = parse_job_id(job);
+  if (!id) return false;
+  member = {*id, index};
+  return true;
+}
+
+bool read_rest(Cursor& cursor, Report& report) {
+  FullReportBody body;
+  if (!cursor.read(body) || !cursor.read(report.address, body.address_length) ||
+      !cursor.read(report.flavor, body.flavor_length) || !cursor.read(report.rack_room, body.zone_length))
+    return false;
+  report.reclaimable = body.reclaimable != 0;
+  if (body.warning_ms != kNoWarning) report.warning_s = body.warning_ms / 1000.0;
+  for (std::uint32_t i = 0; i < body.members; ++i) {
+    MemberBody item;
+    MemberReport member;
+    if (!cursor.read(item) || !read_member(cursor, item.job_length, item.index, member.member) ||
+        !read_enum(item.phase, MemberPhase::exited, member.phase) ||
+        !read_enum(item.cause, ExitCause::no_such, member.cause))
+      return false;
+    member.try_no.value = item.try_no;
+    member.kept = item.kept != 0;
+    report.members.push_back(std::move(member));
+  }
+  return true;
+}
+
+std::optional<Frame> read_reports(Cursor& cursor) {
+  BundleBody bundle;
+  if (!cursor.read(bundle)) return std::nullopt;
+  Reports reports;
+  for (std::uint16_t i = 0; i < bundle.items; ++i) {
+    ReportBody body;
+    DelegatedReport item;
+    if (!cursor.read(body) || !cursor.read(item.report.host.value, body.host_length)) return std::nullopt;
+    item.id = body.id;
+    item.base = body.base;
+    item.report.tenure.value = body.tenure;
+    item.report.counter = body.counter;
+    item.report.fence.value = body.fence;
+    if (item.base == 0 && !read_rest(cursor, item.report)) return std::nullopt;
+    reports.items.push_back(std::move(item));
+  }
+  return reports;
+}
+
+std::optional<Frame> read_rulings(Cursor& cursor) {
+  BundleBody bundle;
+  if (!cursor.read(bundle)) return std::nullopt;
+  Rulings rulings;
+  for (std::uint16_t i = 0; i < bundle.items; ++i) {
+    RulingBody body;
+    Ruling ruling;
+    if (!cursor.read(body) || !read_enum(body.verdict, Verdict::in_full, ruling.verdict)) return std::nullopt;
+    ruling.id = body.id;
+    ruling.fence.value = body.fence;
+    for (std::uint16_t j = 0; j < body.orders; ++j) {
+      OrderBody item;
+      Order order;
+      if (!cursor.read(item) || !read_member(cursor, item.job_length, item.index, order.member) ||
+          !read_enum(item.verb, Verb::forget, order.verb))
+        return std::nullopt;
+      order.try_no.value = item.try_no;
+      order.wind_down_s = item.wind_down_ms / 1000.0;
+      ruling.orders.push_back(std::move(order));
+    }
+    rulings.items.push_back(std::move(ruling));
+  }
+  return rulings;
+}
+
 std::optional<Frame> decode(std::uint8_t type, std::string_view payload) {
   Cursor cursor(payload);
   std::optional<Frame> frame;
@@ -77,7 +204,9 @@
     }
   } else if (type == 1) {
     BeatBody body;
-    if (cursor.read(body)) frame = Beat{body.term, body.state_ok != 0, body.leading != 0};
+    if (cursor.read(body))
+      frame = Beat{body.term, body.state_ok != 0, body.leading != 0,
+                   static_cast<std::uint8_t>(body.state_ok >> 1U)};
   } else if (type == 2) {
     CallBody body;
     Call call;
@@ -105,6 +234,18 @@
       progress.running = body.running;
       frame = std::move(progress);
     }
+  } else if (type == 5) {
+    LoadBody body;
+    Load load;
+    if (cursor.read(body) && cursor.read(load.zone, body.zone_length)) {
+      load.workers = body.workers;
+      load.capacity = body.capacity;
+      frame = std::move(load);
+    }
+  } else if (type == 6) {
+    frame = read_reports(cursor);
+  } else if (type == 7) {
+    frame = read_rulings(cursor);
   }
   if (!cursor.at_end()) return std::nullopt;
   return frame;
@@ -120,6 +261,15 @@
   return std::string(bytes_of(header)) + encoder.payload;
 }
 
+std::string fingerprint(const Report& report) {
+  Encoder encoder;
+  encoder.add(ReportBody{0, 0, report.tenure.value, 0, report.fence.value,
+                         static_cast<std::uint16_t>(report.host.value.size())},
+              report.host.value);
+  encoder.add_rest(report);
+  return std::move(encoder.payload);
+}
+
 std::optional<Frame> FrameReader::next() {
   if (error_ != FrameError::none || buffer_.size() < sizeof(FrameHeader)) return std::nullopt;
   FrameHeader header;
--- a/src/wire/frames.hpp
+++ b/src/wire/frames.hpp
@@ -9,6 +9,9 @@
 #include <string>
 #include <string_view>
 #include <variant>
+#include <vector>
+
+#include "wire/messages.hpp"
 
 namespace bankhill::wire {
 
@@ -48,7 +51,7 @@
 
 struct BeatBody {
   Big<std::uint64_t> term;
-  Big<std::uint8_t> state_ok;
+  Big<std::uint8_t> state_ok;  // not 0: reached; above the lowest bit stands what the sender understands
   Big<std::uint8_t> leading;
 };
 static_assert(sizeof(BeatBody) == 10);
@@ -77,6 +80,67 @@
 };
 static_assert(sizeof(ProgressBody) == 12);
 
+struct LoadBody {
+  Big<std::uint32_t> workers;
+  Big<std::uint32_t> capacity;
+  Big<std::uint16_t> zone_length;
+};
+static_assert(sizeof(LoadBody) == 10);
+
+// Bundles begin with the number of their items.
+struct BundleBody {
+  Big<std::uint16_t> items;
+};
+static_assert(sizeof(BundleBody) == 2);
+
+struct ReportBody {  // of any report; a full one goes on with FullReportBody
+  Big<std::uint64_t> id;
+  Big<std::uint64_t> base;  // 0: in full
+  Big<std::uint64_t> tenure;
+  Big<std::uint64_t> counter;
+  Big<std::uint64_t> fence;
+  Big<std::uint16_t> host_length;
+};
+static_assert(sizeof(ReportBody) == 42);
+
+struct FullReportBody {
+  Big<std::uint8_t> reclaimable;
+  Big<std::uint32_t> warning_ms;  // kNoWarning: none
+  Big<std::uint16_t> address_length;
+  Big<std::uint16_t> flavor_length;
+  Big<std::uint16_t> zone_length;
+  Big<std::uint32_t> members;
+};
+static_assert(sizeof(FullReportBody) == 15);
+constexpr std::uint32_t kNoWarning = 0xFFFFFFFF;
+
+struct MemberBody {
+  Big<std::uint32_t> index;
+  Big<std::uint64_t> try_no;
+  Big<std::uint8_t> phase;
+  Big<std::uint8_t> cause;
+  Big<std::uint8_t> kept;
+  Big<std::uint16_t> job_length;
+};
+static_assert(sizeof(MemberBody) == 17);
+
+struct RulingBody {
+  Big<std::uint64_t> id;
+  Big<std::uint8_t> verdict;
+  Big<std::uint64_t> fence;
+  Big<std::uint16_t> orders;
+};
+static_assert(sizeof(RulingBody) == 19);
+
+struct OrderBody {
+  Big<std::uint8_t> verb;
+  Big<std::uint32_t> index;
+  Big<std::uint64_t> try_no;
+  Big<std::uint32_t> wind_down_ms;
+  Big<std::uint16_t> job_length;
+};
+static_assert(sizeof(OrderBody) == 19);
+
 // The frames as values.
 struct Hello {
   std::uint64_t incarnation = 0;
@@ -87,6 +151,7 @@
   std::uint64_t term = 0;
   bool state_ok = false;
   bool leading = false;
+  std::uint8_t features = 0;  // kFeature...; told only while state_ok is
   bool operator==(const Beat&) const = default;
 };
 struct Call {  // an HTTP request relayed to a sibling
@@ -111,7 +176,53 @@
   bool operator==(const Progress&) const = default;
 };
 
-using Frame = std::variant<Hello, Beat, Call, Answer, Progress>;
+// Frames of the kinds below go only to siblings whose beats say that they understand them: 0.3.0 takes a
+// frame of an unknown kind for malformed and closes the connection.
+constexpr std::uint8_t kFeatureDelegation = 1;
+
+struct Load {  // how many workers report to a controller
+  std::uint32_t workers = 0;
+  std::uint32_t capacity = 0;
+  std::string zone;
+  bool operator==(const Load&) const = default;
+};
+
+// A worker's report on its way from a delegate to the leader. With `base` not 0 it is brief: only host,
+// tenure, counter and fence are told, the rest is as in the report of that counter.
+struct DelegatedReport {
+  std::uint64_t id = 0;  // of the exchange; the ruling names it
+  std::uint64_t base = 0;
+  Report report;
+  bool operator==(const DelegatedReport&) const = default;
+};
+struct Reports {
+  std::vector<DelegatedReport> items;
+  bool operator==(const Reports&) const = default;
+};
+
+// What the leader answers to a report.
+enum class Verdict : std::uint8_t {
+  granted,  // 200 with this fence and these orders
+  refused,  // no right to answer
+  in_full,  // a brief report that the leader cannot complete: to be sent once more, in full
+};
+struct Ruling {
+  std::uint64_t id = 0;
+  Verdict verdict = Verdict::refused;
+  Fence fence;
+  std::vector<Order> orders;
+  bool operator==(const Ruling&) const = default;
+};
+struct Rulings {
+  std::vector<Ruling> items;
+  bool operator==(const Rulings&) const = default;
+};
+
+using Frame = std::variant<Hello, Beat, Call, Answer, Progress, Load, Reports, Rulings>;
+
+// The report as it goes into a frame, in full, but for its counter: two of a worker that are equal here tell
+// the same.
+std::string fingerprint(const Report& report);
 
 std::string encode(const Frame& frame);
 
--- a/src/wire/messages.hpp
+++ b/src/wire/messages.hpp
@@ -92,6 +92,7 @@
   MemberPhase phase = MemberPhase::pulling;
   ExitCause cause = ExitCause::none;
   bool kept = false;
+  bool operator==(const MemberReport&) const = default;
 };
 
 struct Report {
@@ -105,6 +106,7 @@
   Fence fence;
   std::optional<double> warning_s;
   std::vector<MemberReport> members;
+  bool operator==(const Report&) const = default;
 };
 
 Report parse_report(const Json& object);
@@ -117,6 +119,7 @@
   MemberId member;
   TryNo try_no;
   double wind_down_s = 0;
+  bool operator==(const Order&) const = default;
 };
 
 Json to_json(const std::vector<Order>& orders);
--- a/src/workers/desk.cpp
+++ b/src/workers/desk.cpp
@@ -1,25 +1,53 @@
 #include "workers/desk.hpp"
 
+#include <algorithm>
 #include <utility>
 
 namespace bankhill::workers {
 
 using net::Response;
 using wire::Json;
+using wire::Ruling;
+using wire::Verdict;
 
 namespace {
 constexpr double kRememberReports = 8;  // report intervals in which coming back means: could not reach it
 constexpr double kRelayPaces = 0.8;
+// A worker that has not reported for this many intervals reports elsewhere, or not at all.
+constexpr double kHereReports = 2;
+// A leader that is silent for this many paces is not handed reports any more.
+constexpr double kLeaderSilentPaces = 2;
+// Of the workers here, sent on a pace at most: a controller that joins gets its part gradually.
+constexpr double kMoveShare = 0.06;
+constexpr double kBundlePaces = 0.006;
+constexpr double kAnswerShare = 0.7;  // of what a worker waits, at most
+
+delegation::Courier::Timing timing(const DeskSettings& settings) {
+  return {kBundlePaces * settings.pace_s,
+          std::min(kRelayPaces * settings.pace_s, kAnswerShare * net::kWorkerWaitS),
+          kRememberReports * settings.report_s};
+}
+
+Response granted(const Ruling& ruling) {
+  return {200, Json{{"fence", ruling.fence.value}, {"orders", to_json(ruling.orders)}}.dump(), std::nullopt};
+}
+
+// The worker tries the next controller a second later.
+Response next_please() { return {421, "{}", std::nullopt}; }
+Response unable() { return {503, "{}", 1.0}; }
 }  // namespace
 
-Desk::Desk(runtime::Loop& loop, runtime::Log log, std::string node, double report_s, double pace_s,
-           Ports ports)
+Desk::Desk(runtime::Loop& loop, runtime::Log log, DeskSettings settings, Ports ports)
     : Actor(loop),
-      log_(std::move(log)),
-      node_(std::move(node)),
-      report_s_(report_s),
-      pace_s_(pace_s),
-      ports_(std::move(ports)) {}
+      log_(log),
+      settings_(std::move(settings)),
+      ports_(std::move(ports)),
+      courier_(loop, log, loop.random()() >> 1, timing(settings_),
+               {ports_.peers, [this](wire::Report report, std::uint64_t base, delegation::RulingReply reply) {
+                  ports_.take(std::move(report), base, std::move(reply), Via::delegate);
+                }}) {}
+
+void Desk::start() { tidy(); }
 
 void Desk::on(Changed& message) {
   for (const auto& change : *message.changes) {
@@ -29,6 +57,10 @@
   }
 }
 
+void Desk::on(FromSibling& message) {
+  courier_.tell(delegation::Arrived{std::move(message.node), std::move(message.frame)});
+}
+
 void Desk::on(ReportCall& message) {
   wire::Report report;
   try {
@@ -36,25 +68,120 @@
   } catch (const wire::Malformed& error) {
     return message.reply({400, Json{{"error", error.what()}}.dump(), std::nullopt});
   }
-  if (ports_.leading()) return ports_.take(std::move(report), std::move(message.reply), message.relayed);
-  // No right to act for the controllers: never 200 from here.
-  if (message.relayed || leader_.empty() || leader_ == node_) return message.reply({503, "{}", 1.0});
-  redirect(report.host, message);
+  if (ports_.leading()) {
+    if (message.relayed) {
+      return ports_.take(
+          std::move(report), 0,
+          [reply = std::move(message.reply)](const Ruling& ruling) {
+            reply(ruling.verdict == Verdict::granted ? granted(ruling) : unable());
+          },
+          Via::sibling);
+    }
+    if (turned_away(report, message.reply)) return;
+    return ports_.take(
+        std::move(report), 0,
+        [reply = std::move(message.reply)](const Ruling& ruling) {
+          reply(ruling.verdict == Verdict::granted ? granted(ruling) : unable());
+        },
+        Via::worker);
+  }
+  // No right to act for the controllers: never 200 on our own word (invariant 18).
+  if (message.relayed || leader_.empty() || leader_ == settings_.node) return message.reply(unable());
+  if (!delegating()) return redirect(report.host, message);
+  if (turned_away(report, message.reply)) return;
+  const auto host = report.host;
+  courier_.tell(delegation::Deliver{
+      leader_, std::move(report), guard([this, host, reply = std::move(message.reply)](const Ruling& ruling) {
+        if (ruling.verdict == Verdict::granted) return reply(granted(ruling));
+        ours_.erase(host);
+        reply(next_please());
+      })});
+}
+
+// Workers are spread only while all siblings that are there understand it: one that does not sends every
+// worker to the leader, and would undo it.
+bool Desk::spreads() const {
+  if (!settings_.delegates) return false;
+  const auto siblings = ports_.relay.siblings();
+  return std::all_of(siblings.begin(), siblings.end(),
+                     [](const auto& sibling) { return !sibling.fresh || sibling.delegates; });
+}
+
+bool Desk::delegating() const {
+  if (leader_.empty() || leader_ == settings_.node || !spreads()) return false;
+  for (const auto& sibling : ports_.relay.siblings())
+    if (sibling.node == leader_)
+      return sibling.delegates && sibling.silence_s < kLeaderSilentPaces * settings_.pace_s;
+  return false;
+}
+
+wire::Load Desk::load() const {
+  const bool takes = ports_.leading() ? spreads() : delegating();
+  return {static_cast<std::uint32_t>(ours_.size()),
+          takes ? static_cast<std::uint32_t>(settings_.capacity) : 0, settings_.zone};
+}
+
+// Names the controller that is to take this worker, if it is not this one.
+bool Desk::turned_away(const wire::Report& report, const net::Reply& reply) {
+  const double now = loop().now();
+  const bool settled = ours_.contains(report.host);
+  if (!spreads()) {
+    ours_[report.host] = now;
+    return false;
+  }
+  std::vector<delegation::Member> members{{settings_.node, settings_.zone, static_cast<double>(ours_.size()),
+                                           settings_.capacity, ports_.leading()}};
+  for (const auto& sibling : ports_.relay.siblings())
+    if (sibling.fresh && sibling.load.capacity > 0)
+      members.push_back({sibling.node, sibling.load.zone, sibling.load.workers + sent_on_[sibling.node],
+                         static_cast<double>(sibling.load.capacity), sibling.node == leader_});
+  const auto target = delegation::choose(members, 0, report.rack_room, settled);
+  auto& sent = sent_[report.host];
+  // One that comes back could not reach the other.
+  const bool came_back = !sent.controller.empty() && now - sent.at < kRememberReports * settings_.report_s;
+  if (target == 0 || (settled && moves_ < 1) || (!settled && came_back)) {
+    ours_[report.host] = now;
+    return false;
+  }
+  if (settled) moves_ -= 1;
+  const auto& node = members[target].node;
+  sent = {node, now};
+  ours_.erase(report.host);
+  sent_on_[node] += 1;
+  reply({421, Json{{"controller", node}}.dump(), std::nullopt});
+  return true;
+}
+
+void Desk::tidy() {
+  tidy_timer_ = loop().after(settings_.pace_s / 2, guard([this] { tidy(); }));
+  const double now = loop().now();
+  std::erase_if(ours_,
+                [&](const auto& entry) { return now - entry.second > kHereReports * settings_.report_s; });
+  std::erase_if(sent_, [&](const auto& entry) {
+    return now - entry.second.at > kRememberReports * settings_.report_s;
+  });
+  // By now what they tell includes those.
+  sent_on_.clear();
+  moves_ = std::max(1.0, kMoveShare * static_cast<double>(ours_.size()) / 2);
+  const bool spread = spreads();
+  if (spread != std::exchange(spread_before_, spread))
+    log_->info(spread ? "workers: spread over all controllers that are there"
+                      : "workers: sent to the leader alone, a sibling does not take part");
 }
 
 void Desk::redirect(const wire::HostId& host, ReportCall& message) {
   const double now = loop().now();
   auto& sent = sent_[host];
-  const bool came_back = sent.controller == leader_ && now - sent.at < kRememberReports * report_s_;
+  const bool came_back = sent.controller == leader_ && now - sent.at < kRememberReports * settings_.report_s;
   sent = {leader_, now};
   if (!came_back) return message.reply({421, Json{{"controller", leader_}}.dump(), std::nullopt});
   // It cannot reach the leader: pass its report on rather than send it round until its lease ends.
   log_->debug("worker {}: came back, passing its report on to {}", host.value, leader_);
-  ports_.relay.tell(net::RelayCall{leader_, std::move(message.request), kRelayPaces * pace_s_,
+  ports_.relay.tell(net::RelayCall{leader_, std::move(message.request), kRelayPaces * settings_.pace_s,
                                    guard([this, host, reply = std::move(message.reply)](Response response) {
                                      if (response.status == 200) return reply(std::move(response));
                                      sent_.erase(host);
-                                     reply({421, "{}", std::nullopt});
+                                     reply(next_please());
                                    })});
 }
 
--- /dev/null
+++ b/tests/delegation_test.cpp
@@ -0,0 +1,307 @@
+// Delegation without a network: frames, the choice of a controller, and the courier between delegate and
+// leader.
+#include <gtest/gtest.h>
+
+#include <queue>
+
+#include "delegation/courier.hpp"
+#include "delegation/spread.hpp"
+
+namespace bankhill::delegation {
+namespace {
+
+using wire::DelegatedReport;
+using wire::Frame;
+using wire::Ruling;
+using wire::Verdict;
+
+// A loop whose clock is moved by hand.
+class HandLoop final : public runtime::Loop {
+ public:
+  double now() const override { return now_; }
+  double wall() const override { return now_; }
+  void post(std::function<void()> work) override { posted_.push_back(std::move(work)); }
+  runtime::Timer after(double seconds, std::function<void()> work) override {
+    auto armed = std::make_shared<std::function<void()>>(std::move(work));
+    timers_.push({now_ + seconds, order_++, armed});
+    return armed;
+  }
+  std::mt19937_64& random() override { return random_; }
+
+  void pass(double seconds) {
+    const double until = now_ + seconds;
+    run_posted();
+    while (!timers_.empty() && timers_.top().at <= until) {
+      const auto next = timers_.top();
+      timers_.pop();
+      now_ = std::max(now_, next.at);
+      if (const auto work = next.work.lock()) (*work)();
+      run_posted();
+    }
+    now_ = until;
+  }
+
+ private:
+  struct Armed {
+    double at;
+    std::uint64_t order;
+    std::weak_ptr<std::function<void()>> work;
+    bool operator<(const Armed& other) const { return std::tie(at, order) > std::tie(other.at, other.order); }
+  };
+  void run_posted() {
+    while (!posted_.empty()) {
+      const auto work = std::move(posted_.front());
+      posted_.pop_front();
+      work();
+    }
+  }
+  double now_ = 100;
+  std::uint64_t order_ = 0;
+  std::deque<std::function<void()>> posted_;
+  std::priority_queue<Armed> timers_;
+  std::mt19937_64 random_{1};
+};
+
+class Peers final : public net::PeerPort {
+ public:
+  bool send(const std::string& node, const Frame& frame) override {
+    if (cut) return false;
+    sent.emplace_back(node, frame);
+    return true;
+  }
+  void listen(std::function<void(const std::string&, Frame)>) override {}
+  std::vector<std::pair<std::string, Frame>> sent;
+  bool cut = false;
+};
+
+wire::Report report(const std::string& host, std::uint64_t counter, std::size_t tasks) {
+  wire::Report result;
+  result.host = {host};
+  result.address = "10.1.0.1:9000";
+  result.flavor = "g8";
+  result.rack_room = "a";
+  result.tenure = {1};
+  result.counter = counter;
+  result.fence = {7};
+  for (std::uint32_t i = 0; i < tasks; ++i)
+    result.members.push_back({{wire::JobId{"job-000412"}, i}, {9}, wire::MemberPhase::running, {}, false});
+  return result;
+}
+
+class CourierTest : public testing::Test {
+ protected:
+  CourierTest()
+      : courier(loop, runtime::make_log("courier", "off"), 1000, {0.02, 2, 80},
+                {peers, [this](wire::Report taken, std::uint64_t base, RulingReply reply) {
+                   tasks.push_back(taken.members.size());
+                   bases.push_back(base);
+                   replies.push_back(std::move(reply));
+                 }}) {}
+
+  void deliver(wire::Report item) {
+    courier.tell(Deliver{"leader", std::move(item), [this](Ruling ruling) { answers.push_back(ruling); }});
+    loop.pass(0.05);
+  }
+  // The report that went out last.
+  DelegatedReport last() { return std::get<wire::Reports>(peers.sent.back().second).items.back(); }
+  void rule(Verdict verdict) { rule(last().id, verdict); }
+  void rule(std::uint64_t id, Verdict verdict) {
+    courier.tell(Arrived{"leader", wire::Rulings{{Ruling{id, verdict, {7}, {}}}}});
+    loop.pass(0.05);
+  }
+
+  HandLoop loop;
+  Peers peers;
+  std::vector<std::size_t> tasks;
+  std::vector<std::uint64_t> bases;
+  std::vector<RulingReply> replies;
+  std::vector<Ruling> answers;
+  Courier courier;
+};
+
+TEST_F(CourierTest, OnlyWhatTheLeaderGrantedIsABase) {
+  deliver(report("n-1", 1, 3));
+  EXPECT_EQ(last().base, 0U);
+  rule(Verdict::refused);
+  deliver(report("n-1", 2, 3));
+  EXPECT_EQ(last().base, 0U) << "a refused report is known to nobody";
+  rule(Verdict::granted);
+  deliver(report("n-1", 3, 3));
+  EXPECT_EQ(last().base, 2U);
+  EXPECT_TRUE(last().report.members.empty());
+  EXPECT_EQ(last().report.counter, 3U);
+  rule(Verdict::granted);
+  deliver(report("n-1", 4, 3));
+  EXPECT_EQ(last().base, 2U) << "the list of tasks is that of the full report";
+  rule(Verdict::granted);
+  deliver(report("n-1", 5, 4));
+  EXPECT_EQ(last().base, 0U) << "its tasks have changed";
+  EXPECT_EQ(last().report, report("n-1", 5, 4));
+  ASSERT_EQ(answers.size(), 4U);
+}
+
+TEST_F(CourierTest, WhatTheLeaderCannotCompleteIsSentInFull) {
+  deliver(report("n-1", 1, 2));
+  rule(Verdict::granted);
+  deliver(report("n-1", 2, 2));
+  const auto id = last().id;
+  EXPECT_EQ(last().base, 1U);
+  rule(Verdict::in_full);
+  EXPECT_EQ(last().id, id);
+  EXPECT_EQ(last().base, 0U);
+  EXPECT_EQ(last().report, report("n-1", 2, 2));
+  EXPECT_EQ(answers.size(), 1U) << "the worker waits on";
+  rule(Verdict::granted);
+  EXPECT_EQ(answers.size(), 2U);
+}
+
+TEST_F(CourierTest, NoRulingInTimeIsARefusalAndALateOneChangesNothing) {
+  deliver(report("n-1", 1, 1));
+  const auto id = last().id;
+  loop.pass(2.5);
+  ASSERT_EQ(answers.size(), 1U);
+  EXPECT_EQ(answers[0].verdict, Verdict::refused);
+  rule(id, Verdict::granted);
+  EXPECT_EQ(answers.size(), 1U);
+  deliver(report("n-1", 2, 1));
+  EXPECT_EQ(last().base, 0U) << "whether the leader had it is not known";
+  // Nor does one for an exchange of an earlier process.
+  rule(1, Verdict::granted);
+  EXPECT_EQ(answers.size(), 1U);
+}
+
+TEST_F(CourierTest, WithoutAConnectionTheWorkerIsRefusedAtOnce) {
+  peers.cut = true;
+  deliver(report("n-1", 1, 1));
+  ASSERT_EQ(answers.size(), 1U);
+  EXPECT_EQ(answers[0].verdict, Verdict::refused);
+}
+
+TEST_F(CourierTest, ReportsAndRulingsGoInBundles) {
+  for (int i = 0; i < 100; ++i)
+    courier.tell(Deliver{"leader", report("n-" + std::to_string(i), 1, 1),
+                         [this](Ruling r) { answers.push_back(r); }});
+  loop.pass(0.1);
+  EXPECT_LE(peers.sent.size(), 3U);
+  std::vector<DelegatedReport> items;
+  for (const auto& [node, frame] : peers.sent)
+    for (const auto& item : std::get<wire::Reports>(frame).items) items.push_back(item);
+  ASSERT_EQ(items.size(), 100U);
+  peers.sent.clear();
+  courier.tell(Arrived{"delegate", wire::Reports{items}});
+  loop.pass(0.1);
+  ASSERT_EQ(replies.size(), 100U);
+  for (auto& reply : replies) reply({0, Verdict::granted, {7}, {}});
+  loop.pass(0.1);
+  std::set<std::uint64_t> ruled;
+  for (const auto& [node, frame] : peers.sent) {
+    EXPECT_EQ(node, "delegate");
+    for (const auto& ruling : std::get<wire::Rulings>(frame).items) ruled.insert(ruling.id);
+  }
+  EXPECT_LE(peers.sent.size(), 3U);
+  EXPECT_EQ(ruled.size(), 100U);
+}
+
+// A site of controllers to which workers come, each going where it is sent: in the end all are about equally
+// full, nobody goes round for ever, and no settled worker moves between controllers that are about equal.
+TEST(Spread, EvensOutWithoutGoingRound) {
+  for (unsigned seed = 1; seed <= 20; ++seed) {
+    std::mt19937 random(seed);
+    const std::size_t count = 2 + random() % 6;
+    std::vector<Member> members;
+    for (std::size_t i = 0; i < count; ++i)
+      members.push_back({"c" + std::to_string(i), random() % 2 == 0 ? "a" : "b", 0, 1000, i == 0});
+    for (int worker = 0; worker < 1000; ++worker) {
+      const std::string zone = random() % 3 == 0 ? "b" : "a";
+      std::size_t at = random() % count;
+      for (std::size_t hop = 0;; ++hop) {
+        ASSERT_LE(hop, count) << "goes round, seed " << seed;
+        const auto next = choose(members, at, zone, false);
+        if (next == at) break;
+        at = next;
+      }
+      members[at].workers += 1;
+    }
+    double least = 1e9;
+    double most = 0;
+    for (const auto& member : members) {
+      least = std::min(least, fill(member));
+      most = std::max(most, fill(member));
+    }
+    EXPECT_LT(most - least, 0.5 * (most + least) / 2) << "seed " << seed;
+    EXPECT_GT(members[1].workers, members[0].workers) << "the leader has less, seed " << seed;
+    // Of those that are settled, few would move, and a controller that begins with none gets some.
+    for (std::size_t at = 0; at < count; ++at) EXPECT_EQ(choose(members, at, members[at].zone, true), at);
+    members.push_back({"new", "a", 0, 1000, false});
+    for (std::size_t at = 0; at < count; ++at) EXPECT_EQ(choose(members, at, "a", true), count);
+  }
+}
+
+TEST(Frames, ThoseOfDelegationSurviveTheWireAndNoOthersAreRead) {
+  std::mt19937_64 random(11);
+  wire::Reports reports;
+  wire::Rulings rulings;
+  for (std::uint64_t i = 1; i <= 20; ++i) {
+    auto item = report("n-" + std::to_string(i), i * 1'000'000'007, i % 5);
+    if (i % 3 == 0) item.warning_s = 2.5;
+    item.reclaimable = i % 2 == 0;
+    reports.items.push_back({random(), 0, item});
+    DelegatedReport brief{random(), i, {}};
+    brief.report.host = item.host;
+    brief.report.tenure = {random()};
+    brief.report.counter = random();
+    brief.report.fence = {random()};
+    reports.items.push_back(brief);
+    Ruling ruling{random(), static_cast<Verdict>(i % 3), {random()}, {}};
+    for (std::uint32_t k = 0; k < i % 4; ++k)
+      ruling.orders.push_back(
+          {static_cast<wire::Verb>(k % 3), {wire::JobId{"job-1"}, k}, {random()}, 1.5 * k});
+    rulings.items.push_back(ruling);
+  }
+  for (const Frame& frame : {Frame{reports}, Frame{rulings}, Frame{wire::Load{7, 900, "voss"}},
+                             Frame{wire::Beat{4, true, true, wire::kFeatureDelegation}}}) {
+    const auto bytes = wire::encode(frame);
+    wire::FrameReader reader;
+    reader.append(bytes);
+    EXPECT_EQ(reader.next(), frame);
+    EXPECT_EQ(reader.error(), wire::FrameError::none);
+    // Cut short inside, and with any byte changed: an error or a frame, never a read beyond the end
+    // (sanitizers).
+    for (int round = 0; round < 300; ++round) {
+      auto broken = bytes;
+      const auto at = sizeof(wire::FrameHeader) + random() % (broken.size() - sizeof(wire::FrameHeader));
+      broken[at] = static_cast<char>(random());
+      wire::FrameReader other;
+      other.append(broken);
+      const auto read = other.next();
+      EXPECT_TRUE(!read || read->index() == frame.index());
+      auto shorter = bytes.substr(0, at);
+      const auto length = static_cast<std::uint32_t>(at - sizeof(wire::FrameHeader));
+      for (int byte = 0; byte < 4; ++byte)
+        shorter[static_cast<std::size_t>(4 + byte)] = static_cast<char>(length >> (24 - 8 * byte));
+      wire::FrameReader third;
+      third.append(shorter);
+      EXPECT_EQ(third.next(), std::nullopt);
+      EXPECT_EQ(third.error(), wire::FrameError::bad_body);
+    }
+  }
+}
+
+TEST(Frames, AReportsFingerprintIsAllButItsCounter) {
+  const auto base = wire::fingerprint(report("n-1", 1, 2));
+  EXPECT_EQ(wire::fingerprint(report("n-1", 2, 2)), base);
+  EXPECT_NE(wire::fingerprint(report("n-2", 1, 2)), base);
+  EXPECT_NE(wire::fingerprint(report("n-1", 1, 1)), base);
+  auto other = report("n-1", 1, 2);
+  other.members[1].phase = wire::MemberPhase::exited;
+  EXPECT_NE(wire::fingerprint(other), base);
+  other = report("n-1", 1, 2);
+  other.fence = {8};
+  EXPECT_NE(wire::fingerprint(other), base);
+  other = report("n-1", 1, 2);
+  other.warning_s = 3;
+  EXPECT_NE(wire::fingerprint(other), base);
+}
+
+}  // namespace
+}  // namespace bankhill::delegation
--- a/tests/sim/world.hpp
+++ b/tests/sim/world.hpp
@@ -169,12 +169,14 @@
   int leader() const;  // -1: none
   std::uint64_t steps() const { return steps_; }
   std::uint64_t starts() const { return starts_; }
+  std::uint64_t delegated() const { return delegated_; }  // reports that went through delegates
 
   int nodes() const { return node_count_; }
   static constexpr int kNodes = 3;  // real processes of the smoke test
 
   // Knobs.
   bool announced = true;            // controllers that boot are told of the limits to come
+  bool spreading = true;            // controllers that boot take part in delegation; else they are as 0.3.0
   std::size_t states_kept = 20000;  // final states that controllers that boot keep in memory
   int most_machines = 14;           // that the cloud has
   double report_delay = 0;          // on the way to the controllers
@@ -249,6 +251,7 @@
   void check_phase(SimJob& job, const net::Response& response, double asked);
 
   void violate(const std::string& rule, const std::string& what);
+  void check_frame(int node, const wire::Frame& frame);
   void check_commit(const wire::Json& body);
   void check_forget(const SimMachine& machine, const wire::Order& order);
   void check_start(const SimMachine& machine, const wire::MemberId& member);
@@ -260,6 +263,7 @@
   std::uint64_t order_ = 0;
   std::uint64_t steps_ = 0;
   std::uint64_t starts_ = 0;
+  std::uint64_t delegated_ = 0;
   std::priority_queue<Event, std::vector<Event>, std::greater<>> queue_;
   std::mt19937_64 random_;
   runtime::Log log_;
