--- a/src/leader/fleet.cpp
+++ b/src/leader/fleet.cpp
@@ -320,6 +320,10 @@
   for (const auto& [pool, state] : fleet_.pools()) have[pool.rack_room] += state.sums.cores;
   std::sort(zones.begin(), zones.end(),
             [&](const std::string& a, const std::string& b) { return have[a] < have[b]; });
+  // Services stand on steady machines. A cut between the zones, or of the smaller one, takes those that are not
+  // where the leader will be: steady machines are rented there as long as there are any.
+  const auto main = std::find(zones.begin(), zones.end(), settings_.main_zone);
+  if (!reclaimable && main != zones.end()) zones = {settings_.main_zone};
   double asked = 0;
   for (std::size_t i = 0; i < zones.size(); ++i) {
     double share = std::ceil((count - asked) / static_cast<double>(zones.size() - i));
