--- a/src/leader/fleet.cpp
+++ b/src/leader/fleet.cpp
@@ -18,7 +18,7 @@
 constexpr double kServiceProbe = 0.5;  // report intervals after which a machine with services is asked
 constexpr double kServiceSilent = 3;   // paces after which one that does not answer is given up
 constexpr std::uint32_t kProbesUnanswered = 2;  // with at least so many unanswered
-constexpr double kAskedAgain = 3;     // paces after which one that this reign never heard is given up
+constexpr double kAskedAgain = 1.5;   // paces after which one that this reign never heard is given up
 constexpr double kMassShare = 0.4;    // more machines silent than this: it is our network, not theirs
 constexpr double kWindowShare = 0.5;  // of the time left until a job is due
 constexpr double kRounding = 1e-6;
@@ -320,8 +320,8 @@
   for (const auto& [pool, state] : fleet_.pools()) have[pool.rack_room] += state.sums.cores;
   std::sort(zones.begin(), zones.end(),
             [&](const std::string& a, const std::string& b) { return have[a] < have[b]; });
-  // Services stand on steady machines. A cut between the zones, or of the smaller one, takes those that are not
-  // where the leader will be: steady machines are rented there as long as there are any.
+  // Services stand on steady machines. A cut between the zones, or of the smaller one, takes those that are
+  // not where the leader will be: steady machines are rented there as long as there are any.
   const auto main = std::find(zones.begin(), zones.end(), settings_.main_zone);
   if (!reclaimable && main != zones.end()) zones = {settings_.main_zone};
   double asked = 0;
@@ -524,7 +524,8 @@
   const bool given_up =
       machine.probes_unanswered >= kProbesUnanswered &&
       (machine.confirmed ? silence > silent_after : now - reign_since_ > kAskedAgain * settings_.pace_s);
-  if (!machine.confirmed && machine.probes_unanswered > 0 && now - machine.last_probe > settings_.pace_s)
+  if (!machine.confirmed && machine.probes_unanswered > 0 &&
+      now - machine.last_probe > kAskedAgain / 3 * settings_.pace_s)
     send_direct(machine, {});
   if (!given_up) return;
   // It may be us: another machine must have been heard directly since, or be all that there is.
--- a/src/leader/reports.cpp
+++ b/src/leader/reports.cpp
@@ -26,6 +26,7 @@
 constexpr double kLastBackoff = 20;
 // Exited attempts that wait to be forgotten with the next orders: alone they would cost a report each.
 constexpr std::size_t kForgetAlone = 64;
+constexpr double kUnheardPatience = 0.5;  // paces for the answer of a machine that is not confirmed
 constexpr double kRegularReport =
     0.7;  // of the report interval: after this it is not a change that is reported
 constexpr std::size_t kMaxOrders = 400;  // keeps an answer below 64 KiB
@@ -445,7 +446,9 @@
   const auto tenure = std::max<std::uint64_t>(1, machine.tenure.value);
   const wire::Json body{{"fence", fence.value}, {"tenure", tenure}, {"orders", to_json(orders)}};
   machine.last_probe = loop().now();
-  ports_.workers.send(machine.address, {net::Method::post, "/commands", body.dump()}, settings_.pace_s,
+  // One that this reign has not heard holds up others' tasks: it is waited for less long.
+  const double patience = machine.confirmed ? settings_.pace_s : kUnheardPatience * settings_.pace_s;
+  ports_.workers.send(machine.address, {net::Method::post, "/commands", body.dump()}, patience,
                       guard([this, host = machine.host, orders = std::move(orders), fence,
                              reign = first_term_, over = std::move(over)](const net::Response& response) {
                         if (!reigning_ || reign != first_term_) return;
