leader: one whose lease outlives a state outage reads before it gives way

It is now given 2.5 s to listen once its lease is held again; until then it is not valid, as before.

--- a/src/leader/leader.cpp
+++ b/src/leader/leader.cpp
@@ -12,6 +12,7 @@
 namespace {
 constexpr double kTickS = 0.25;
 constexpr double kSyncS = 1.0;
+constexpr double kListenS = 2.5 * kSyncS;  // for a read barrier after the lease was renewed late
 constexpr double kProgressS = 1.0;
 constexpr double kWatchS = 1.0;  // in which the watch goes round the fleet once
 constexpr double kSettleS = 1.0;
@@ -96,6 +97,7 @@
 }
 
 void Leader::on(Valid& message) {
+  if (message.hold != hold_ || valid_until_ <= loop().now()) renewed_since_ = loop().now();
   if (message.hold == hold_) {
     valid_until_ = std::max(valid_until_, message.until);
     return;
@@ -365,7 +367,9 @@
     resync();
   }
   // Nor must it keep the leadership, when its renewals alone are answered.
-  if (deaf() && now < valid_until_) return ports_.resign();
+  // After an outage of the state service both come back, the lease often first: its holder still knows every
+  // machine, where another would have to ask all of them, so it is given the time to listen.
+  if (deaf() && now < valid_until_ && now - renewed_since_ > kListenS) return ports_.resign();
   if (!valid()) return;
   age_reclaims(passed);
   if (now >= next_catalogue_) fetch_catalogue();
