--- a/src/gateway/gateway.cpp
+++ b/src/gateway/gateway.cpp
@@ -26,6 +26,8 @@
   return {status, Json{{"error", text}}.dump(), std::nullopt};
 }
 
+Response limited() { return {503, "{}", kRetryAfterS}; }
+
 Response too_long() { return error(400, "the description is longer than can be stored"); }
 }  // namespace
 
@@ -322,6 +324,9 @@
   for (auto& [key, value] : stored(spec))
     transaction.writes.push_back({std::move(key), std::move(value), std::nullopt});
   if (transaction.writes.empty()) return call->reply(too_long());
+  // Beyond the limit each try cost two requests, its own and a sibling's, again each second: at four times
+  // fjordskatt-fleet 40,000 of them, and what else the controllers needed was refused with them.
+  if (store_.writes_used_up()) return call->reply(limited());
   store_.tell(state::Commit{
       std::move(transaction), guard([this, call, spec](state::CommitResult result) {
         switch (result.outcome) {
@@ -339,6 +344,8 @@
             return answer_known(call, spec.uid);
           case Outcome::refused:
             return unable(call);
+          case Outcome::limited:
+            return call->reply(limited());
           case Outcome::unknown:
             // Repeating it tells: a conflict means that it was applied.
             if (++call->tries < 2) return accept(call, spec);
@@ -387,6 +394,7 @@
                                std::nullopt}};
         store_.tell(state::Commit{
             std::move(transaction), guard([this, call, id](state::CommitResult result) {
+              if (result.outcome == Outcome::limited) return call->reply(limited());
               if (result.outcome == Outcome::refused || result.outcome == Outcome::malformed)
                 return unable(call);
               if (result.outcome != Outcome::done) return withdraw(call, id);
--- a/src/state/store.cpp
+++ b/src/state/store.cpp
@@ -21,6 +21,9 @@
 constexpr double kWatchShare = 0.3;
 // Part of the write limit that only users and elections may use.
 constexpr double kUrgentReserve = 0.3;
+constexpr int kTooMany = 429;
+// Of the write limit: what was counted too much, such as puts of others seen late, may still be had.
+constexpr double kWritesOwed = 0.1;
 // Of the write limit: the margin is for writes that are not seen, such as failed conditions.
 constexpr double kWritesUsed = 0.95;
 
@@ -37,6 +40,8 @@
       limits_(limits),
       writes_(limits.write_rps * kWritesUsed, limits.write_rps * kWritesUsed) {}
 
+bool Store::writes_used_up() { return writes_.level(loop().now()) < -kWritesOwed * limits_.write_rps; }
+
 double Store::writes_to_spare() { return writes_.level(loop().now()) - kUrgentReserve * limits_.write_rps; }
 
 void Store::start() {
@@ -220,7 +225,7 @@
     writes.push_back(std::move(item));
   }
   send(Method::post, "/commit", Json{{"when", std::move(when)}, {"writes", std::move(writes)}}.dump(),
-       kAnswerS, [this, done = std::move(message.done), keys = std::move(keys)](const Response& response) {
+       kAnswerS, [this, puts, done = std::move(message.done), keys = std::move(keys)](const Response& response) {
          CommitResult result;
          const Json body = Json::parse(response.body, nullptr, false);
          if (body.is_object() && body.contains("epoch"))
@@ -231,8 +236,12 @@
            result.outcome = Outcome::conflict;
          else if (response.status == 400)
            result.outcome = Outcome::malformed;
+         else if (response.status == kTooMany)
+           result.outcome = Outcome::limited;
          else if (response.status != 0)
            result.outcome = Outcome::refused;
+         // Not written, so not to be counted against what may be.
+         if (response.status == kTooMany) writes_.spend(loop().now(), -puts);
          if (response.status == 400)
            log_->warn("state: transaction of {} writes ({}{}) refused as malformed: {}", keys.size(),
                       keys.empty() ? "" : keys.front(), keys.size() > 1 ? ", ..." : "", response.body);
--- a/src/state/store.hpp
+++ b/src/state/store.hpp
@@ -44,6 +44,7 @@
   done,
   conflict,   // a condition failed: nothing was written
   refused,    // not executed
+  limited,    // not executed, since the limits are used up: no other controller would fare better
   malformed,  // not executed, and it will not be as it is: too large, too many writes, or an ended lease
   unknown,    // may have been executed, or may still be
 };
@@ -96,6 +97,8 @@
   // Puts that bookkeeping may commit now. Every controller sees every change, so it knows what the others
   // use: nothing of the limit is set aside for controllers that write nothing.
   double writes_to_spare();
+  // Whether a put of users is sure enough to be refused for the limit that asking would only use up requests.
+  bool writes_used_up();
 
   void on(Commit& message);
   void on(Sync& message);
