--- a/src/leader/leader.hpp
+++ b/src/leader/leader.hpp
@@ -306,7 +306,7 @@
   std::uint64_t hold_ = 0;
   double valid_until_ = 0;
   double renewed_since_ = -1e9;  // since when the lease is held without a gap, by our count
-  double synced_at_ = -1e9;  // when the last read barrier that succeeded was sent
+  double synced_at_ = -1e9;      // when the last read barrier that succeeded was sent
 
   // Of the current reign.
   bool reigning_ = false;
--- a/src/state/store.cpp
+++ b/src/state/store.cpp
@@ -225,7 +225,8 @@
     writes.push_back(std::move(item));
   }
   send(Method::post, "/commit", Json{{"when", std::move(when)}, {"writes", std::move(writes)}}.dump(),
-       kAnswerS, [this, puts, done = std::move(message.done), keys = std::move(keys)](const Response& response) {
+       kAnswerS,
+       [this, puts, done = std::move(message.done), keys = std::move(keys)](const Response& response) {
          CommitResult result;
          const Json body = Json::parse(response.body, nullptr, false);
          if (body.is_object() && body.contains("epoch"))
--- a/tests/sim/world.cpp
+++ b/tests/sim/world.cpp
@@ -497,7 +497,7 @@
     auto& puts = limits_.state_write_rps < settings_.state_write_rps ? puts_next_ : puts_;
     if (!too_large(body) &&
         limited(puts, limits_.state_write_rps, static_cast<double>(body["writes"].size())))
-      return {429, "{}", std::nullopt};
+      return ++puts_refused, Response{429, "{}", std::nullopt};
     return commit(body);
   }
   if (request.path == "/leases") {
--- a/tests/sim/world.hpp
+++ b/tests/sim/world.hpp
@@ -157,6 +157,7 @@
   // For the tests of the checker itself.
   void force_start(const wire::MemberId& member, std::size_t machine);
   std::uint64_t too_large_refused = 0;  // transactions
+  std::uint64_t puts_refused = 0;       // beyond the limit of writes
   std::uint64_t service_stops = 0;      // services stopped by command while nobody had cancelled them
   std::vector<std::string>& broken() { return broken_; }
   std::map<std::string, SimMachine>& machines() { return machines_; }
--- a/tests/sim_test.cpp
+++ b/tests/sim_test.cpp
@@ -186,6 +186,24 @@
   }
 }
 
+// What is beyond the write limit is answered by what is known of it: tried each time, and passed on to a
+// sibling that can do no better, two requests a try used up those that all else needs.
+TEST(Limits, SubmissionsBeyondTheWriteLimitAreNotTriedInVain) {
+  World world(21);
+  world.run(5);
+  std::vector<std::string> jobs;
+  for (int i = 0; i < 600; ++i) {
+    auto job = plain_job("red", 1, 1, 3);
+    job.kept = true;
+    jobs.push_back(world.submit(job));
+  }
+  const auto before = world.puts_refused;
+  world.run(40);
+  ASSERT_TRUE(world.broken().empty()) << listing(world.broken());
+  for (const auto& uid : jobs) EXPECT_TRUE(world.jobs().at(uid).accepted) << uid;
+  EXPECT_LT(world.puts_refused - before, 300U);
+}
+
 // The checker itself: each kind of broken rule must be seen.
 TEST(Checker, SeesATaskThatRunsTwice) {
   World world(7);
