delegates: one look at the siblings a report, what was written twice stands once

A delegate copied the list of siblings up to four times for each report, and the desk made an entry in its map of workers sent on for every worker that stays: both are done once or not at all. How a report came (net::Via) and what answers it (net::RulingReply) stood in two packages each, with a function from one to the other; the same reply stood twice in the desk, the same part of the sockets was computed in two files, the patience with unheard machines in two. A bundle's timer says by itself whether a flush is to come; the courier's log was never written to; zones are not sorted where only one is asked.

--- a/src/app/main.cpp
+++ b/src/app/main.cpp
@@ -1,5 +1,6 @@
 // The program: serves a controller, checks its settings, or speaks to one as a client.
 #include <CLI/CLI.hpp>
+#include <algorithm>
 #include <csignal>
 #include <cstdlib>
 #include <iostream>
@@ -38,14 +39,11 @@
   const auto log = runtime::make_log("bankhill", log_level());
   runtime::EventLoop loop;
   const std::uint64_t incarnation = loop.random()() >> 1;
-  const auto share = [&](double part) {
-    return static_cast<std::size_t>(std::max(1.0, part * static_cast<double>(settings.sockets)));
-  };
   // What the three kinds below leave. Direct orders must not make the state service wait.
   const double rest =
       1 - settings.own.worker_sockets - settings.own.user_sockets - settings.own.direct_sockets;
-  net::EvhttpClient client(loop, log, std::max(kServiceSockets, share(rest / 2)));
-  net::EvhttpClient to_workers(loop, log, share(settings.own.direct_sockets));
+  net::EvhttpClient client(loop, log, std::max(kServiceSockets, settings.share_of_sockets(rest / 2)));
+  net::EvhttpClient to_workers(loop, log, settings.share_of_sockets(settings.own.direct_sockets));
   std::vector<net::Sibling> siblings;
   for (const auto& sibling : settings.siblings) siblings.push_back({sibling.host_name, sibling.addr});
   net::PeerLink peers(loop, log, settings.host_name, incarnation, settings.peer_listen, std::move(siblings),
@@ -54,7 +52,8 @@
   // Workers and users may be silent between requests for several report intervals.
   net::EvhttpServer server(
       loop, log, settings.api_addr, settings.lease_s,
-      {share(settings.own.worker_sockets), share(settings.own.user_sockets)},
+      {settings.share_of_sockets(settings.own.worker_sockets),
+       settings.share_of_sockets(settings.own.user_sockets)},
       [&node](net::Request request, net::Reply reply) { node.handle(std::move(request), std::move(reply)); });
   log->info("bankhill {}: {} in {} serves on {}", BANKHILL_VERSION, settings.host_name, settings.zone,
             settings.api_addr);
--- a/src/app/node.cpp
+++ b/src/app/node.cpp
@@ -1,34 +1,18 @@
 #include "app/node.hpp"
 
-#include <algorithm>
 #include <utility>
 
 namespace bankhill::app {
 
 namespace {
 
-double worker_capacity(const Settings& settings) {
-  return std::max(1.0, settings.own.worker_sockets * static_cast<double>(settings.sockets));
-}
-
 // Beyond one connection a worker, connections are closed between reports and serve several workers in turn.
 constexpr double kWorkersAConnection = 3;
 
 std::size_t most_machines(const Settings& settings) {
-  return static_cast<std::size_t>(kWorkersAConnection * worker_capacity(settings) *
-                                  static_cast<double>(settings.controllers));
-}
-
-leader::Reported::Via via_of(workers::Desk::Via via) {
-  switch (via) {
-    case workers::Desk::Via::worker:
-      return leader::Reported::Via::worker;
-    case workers::Desk::Via::sibling:
-      return leader::Reported::Via::sibling;
-    case workers::Desk::Via::delegate:
-      break;
-  }
-  return leader::Reported::Via::delegate;
+  return static_cast<std::size_t>(
+      kWorkersAConnection *
+      static_cast<double>(settings.share_of_sockets(settings.own.worker_sockets) * settings.controllers));
 }
 
 leader::Settings leader_settings(const Settings& settings, std::uint64_t incarnation) {
@@ -106,12 +90,12 @@
                  relay_.tell(net::Broadcast{std::move(progress)});
                }}),
       desk_(loop, log,
-            {settings.host_name, settings.zone, settings.report_s, settings.pace_s, worker_capacity(settings),
+            {settings.host_name, settings.zone, settings.report_s, settings.pace_s,
+             static_cast<double>(settings.share_of_sockets(settings.own.worker_sockets)),
              settings.own.spread_workers},
             {relay_, peers, [this] { return leader_.valid(); },
-             [this](wire::Report report, std::uint64_t base, delegation::RulingReply reply,
-                    workers::Desk::Via via) {
-               leader_.tell(leader::Reported{std::move(report), base, std::move(reply), via_of(via)});
+             [this](wire::Report report, std::uint64_t base, net::RulingReply reply, net::Via via) {
+               leader_.tell(leader::Reported{std::move(report), base, std::move(reply), via});
              }}),
       gateway_(loop, log, store_, relay_, limits(settings), settings.own.final_states_kept) {
   peers.listen([this](const std::string& node, wire::Frame frame) {
--- a/src/app/settings.cpp
+++ b/src/app/settings.cpp
@@ -141,6 +141,10 @@
 
 }  // namespace
 
+std::size_t Settings::share_of_sockets(double part) const {
+  return static_cast<std::size_t>(std::max(1.0, part * static_cast<double>(sockets)));
+}
+
 Settings parse_settings(const std::string& json_text) {
   try {
     return parse(wire::parse_object(json_text));
--- a/src/app/settings.hpp
+++ b/src/app/settings.hpp
@@ -72,6 +72,9 @@
   double list_lag_s = 0;
   std::size_t sockets = 1024;  // that a controller may have open
   OperatorSettings own;
+
+  // So many sockets are a part of them, at least one.
+  std::size_t share_of_sockets(double part) const;
 };
 
 Settings parse_settings(const std::string& json_text);
--- a/src/delegation/courier.cpp
+++ b/src/delegation/courier.cpp
@@ -13,8 +13,8 @@
 constexpr std::size_t kBundleItems = 512;
 }  // namespace
 
-Courier::Courier(runtime::Loop& loop, runtime::Log log, std::uint64_t first_id, Timing timing, Ports ports)
-    : Actor(loop), log_(std::move(log)), timing_(timing), ports_(std::move(ports)), next_id_(first_id) {
+Courier::Courier(runtime::Loop& loop, std::uint64_t first_id, Timing timing, Ports ports)
+    : Actor(loop), timing_(timing), ports_(std::move(ports)), next_id_(first_id) {
   expire();
 }
 
@@ -49,14 +49,14 @@
   auto& outbox = outboxes_[node];
   if (outbox.reports.items.size() + outbox.rulings.items.size() + outbox.members >= kBundleItems)
     return flush(node);
-  if (std::exchange(outbox.scheduled, true)) return;
+  if (outbox.timer) return;
   const double wait = std::max(0.0, outbox.last + timing_.bundle_s - loop().now());
-  timers_[node] = loop().after(wait, guard([this, node] { flush(node); }));
+  outbox.timer = loop().after(wait, guard([this, node] { flush(node); }));
 }
 
 void Courier::flush(const std::string& node) {
   auto& outbox = outboxes_[node];
-  outbox.scheduled = false;
+  outbox.timer.reset();
   outbox.last = loop().now();
   outbox.members = 0;
   const auto reports = std::exchange(outbox.reports, {});
--- a/src/delegation/courier.hpp
+++ b/src/delegation/courier.hpp
@@ -8,19 +8,16 @@
 #include <string>
 
 #include "net/http.hpp"
+#include "net/reports.hpp"
 #include "runtime/actor.hpp"
-#include "runtime/log.hpp"
 
 namespace bankhill::delegation {
 
-// Called once with what the leader says to a report; the id in it is the exchange's own.
-using RulingReply = std::function<void(wire::Ruling)>;
-
 // Messages.
 struct Deliver {  // to the leader `node`; refused when no ruling came in time
   std::string node;
   wire::Report report;
-  RulingReply reply;
+  net::RulingReply reply;
 };
 struct Arrived {  // Reports for the leader here, or Rulings for this delegate
   std::string node;
@@ -32,7 +29,7 @@
   struct Ports {
     net::PeerPort& peers;
     // To the leader of this controller; `base` is not 0 for a brief report.
-    std::function<void(wire::Report, std::uint64_t base, RulingReply)> take;
+    std::function<void(wire::Report, std::uint64_t base, net::RulingReply)> take;
   };
   struct Timing {
     double bundle_s = 0;  // reports and rulings wait this long for others
@@ -42,7 +39,7 @@
 
   // `first_id`: where the exchanges' ids begin, another for each process, so that a ruling for an earlier
   // process of this controller finds nothing.
-  Courier(runtime::Loop& loop, runtime::Log log, std::uint64_t first_id, Timing timing, Ports ports);
+  Courier(runtime::Loop& loop, std::uint64_t first_id, Timing timing, Ports ports);
 
   void on(Deliver& message);
   void on(Arrived& message);
@@ -57,14 +54,14 @@
     std::string node;
     wire::Report report;
     std::string fingerprint;
-    RulingReply reply;
+    net::RulingReply reply;
   };
   struct Outbox {  // to one sibling
     wire::Reports reports;
     wire::Rulings rulings;
     std::size_t members = 0;  // tasks and orders in them: a measure of their size
     double last = -1e9;       // flushed
-    bool scheduled = false;
+    runtime::Timer timer;     // empty: no flush is to come
   };
 
   void send(std::uint64_t id, Exchange& exchange, bool brief);
@@ -74,7 +71,6 @@
   void refuse(std::uint64_t id);
   void expire();
 
-  runtime::Log log_;
   Timing timing_;
   Ports ports_;
   std::uint64_t next_id_;
@@ -82,7 +78,6 @@
   std::map<std::uint64_t, Exchange> exchanges_;
   std::deque<std::pair<double, std::uint64_t>> deadlines_;  // rising
   std::map<std::string, Outbox> outboxes_;
-  std::map<std::string, runtime::Timer> timers_;
   runtime::Timer expiry_;
   double next_forget_ = 0;
 };
--- a/src/leader/fleet.cpp
+++ b/src/leader/fleet.cpp
@@ -315,15 +315,17 @@
     if (out == stockouts_.end() || now >= out->second.until) zones.push_back(zone);
   }
   if (zones.empty()) return 0;
-  // Evenly over the zones, beginning with the one that has the fewest.
-  std::map<std::string, double> have;
-  for (const auto& [pool, state] : fleet_.pools()) have[pool.rack_room] += state.sums.cores;
-  std::sort(zones.begin(), zones.end(),
-            [&](const std::string& a, const std::string& b) { return have[a] < have[b]; });
-  // Services stand on steady machines. A cut between the zones, or of the smaller one, takes those that are
-  // not where the leader will be: steady machines are rented there as long as there are any.
-  const auto main = std::find(zones.begin(), zones.end(), settings_.main_zone);
-  if (!reclaimable && main != zones.end()) zones = {settings_.main_zone};
+  if (!reclaimable && std::find(zones.begin(), zones.end(), settings_.main_zone) != zones.end()) {
+    // Services stand on steady machines. A cut between the zones, or of the smaller one, takes those that are
+    // not where the leader will be: steady machines are rented there as long as there are any.
+    zones = {settings_.main_zone};
+  } else {
+    // Evenly over the zones, beginning with the one that has the fewest.
+    std::map<std::string, double> have;
+    for (const auto& [pool, state] : fleet_.pools()) have[pool.rack_room] += state.sums.cores;
+    std::sort(zones.begin(), zones.end(),
+              [&](const std::string& a, const std::string& b) { return have[a] < have[b]; });
+  }
   double asked = 0;
   for (std::size_t i = 0; i < zones.size(); ++i) {
     double share = std::ceil((count - asked) / static_cast<double>(zones.size() - i));
@@ -525,7 +527,7 @@
       machine.probes_unanswered >= kProbesUnanswered &&
       (machine.confirmed ? silence > silent_after : now - reign_since_ > kAskedAgain * settings_.pace_s);
   if (!machine.confirmed && machine.probes_unanswered > 0 &&
-      now - machine.last_probe > kAskedAgain / 3 * settings_.pace_s)
+      now - machine.last_probe > kUnheardPatience * settings_.pace_s)
     send_direct(machine, {});
   if (!given_up) return;
   // It may be us: another machine must have been heard directly since, or be all that there is.
--- a/src/leader/leader.hpp
+++ b/src/leader/leader.hpp
@@ -16,6 +16,7 @@
 #include "model/job.hpp"
 #include "model/waits.hpp"
 #include "net/http.hpp"
+#include "net/reports.hpp"
 #include "planner/planner.hpp"
 #include "runtime/actor.hpp"
 #include "runtime/log.hpp"
@@ -24,6 +25,9 @@
 
 namespace bankhill::leader {
 
+// Paces for the answer of a machine that this reign has not heard: it holds up others' tasks.
+constexpr double kUnheardPatience = 0.5;
+
 struct Team {
   std::string name;
   wire::Amounts guarantee;  // cores and accelerators
@@ -64,12 +68,11 @@
   std::uint64_t hold = 0;
   double until = 0;
 };
-using RulingReply = std::function<void(wire::Ruling)>;
 struct Reported {
   wire::Report report;
   std::uint64_t base = 0;  // not 0: brief, all else is as in the report of that counter (invariant 19)
-  RulingReply reply;
-  enum class Via { worker, sibling, delegate } via = Via::worker;  // sibling: since it cannot reach us
+  net::RulingReply reply;
+  net::Via via = net::Via::worker;
 };
 
 class Leader : public runtime::Actor<Leader, Changed, Valid, Reported> {
@@ -127,7 +130,7 @@
   struct Awaiting {  // a report whose answer waits for the placement under way
     wire::HostId host;
     std::uint64_t counter = 0;
-    RulingReply reply;
+    net::RulingReply reply;
   };
   struct Rental {
     wire::RentalRecord record;
@@ -214,7 +217,7 @@
   void record(model::Machine& machine);
   void forget_record(model::Machine& machine);
   bool apply(model::Machine& machine, const wire::Report& report, bool direct);
-  bool apply_brief(const wire::Report& report, std::uint64_t base);
+  model::Machine* apply_brief(const wire::Report& report, std::uint64_t base);
   void heard(model::Machine& machine, const wire::Report& report, bool direct);
   wire::Ruling granted(std::vector<wire::Order> orders) const;
   void apply_member(model::Machine& machine, const wire::MemberReport& member);
@@ -229,7 +232,7 @@
   void stop(model::Machine& machine, model::Bind& bind, double wind_down_s);
   void stop_all(const model::Job& job);
   void add_bind(model::Machine& machine, model::Bind bind);
-  void answer_report(model::Machine& machine, std::uint64_t counter, const RulingReply& reply);
+  void answer_report(model::Machine& machine, std::uint64_t counter, const net::RulingReply& reply);
   std::vector<wire::Order> orders_for(model::Machine& machine, std::uint64_t answered_counter);
   void send_direct(model::Machine& machine, std::vector<wire::Order> orders, Then over = {});
   void direct_answered(const wire::HostId& host, const std::vector<wire::Order>& orders, wire::Fence fence,
--- a/src/leader/reports.cpp
+++ b/src/leader/reports.cpp
@@ -26,7 +26,6 @@
 constexpr double kLastBackoff = 20;
 // Exited attempts that wait to be forgotten with the next orders: alone they would cost a report each.
 constexpr std::size_t kForgetAlone = 64;
-constexpr double kUnheardPatience = 0.5;  // paces for the answer of a machine that is not confirmed
 constexpr double kRegularReport =
     0.7;  // of the report interval: after this it is not a change that is reported
 constexpr std::size_t kMaxOrders = 400;  // keeps an answer below 64 KiB
@@ -39,14 +38,15 @@
 void Leader::on(Reported& message) {
   if (!valid()) return message.reply({});
   const auto& report = message.report;
-  if (message.via == Reported::Via::sibling) ++unanswered_;
-  if (message.via == Reported::Via::worker) heard_directly_ = loop().now();
+  if (message.via == net::Via::sibling) ++unanswered_;
+  if (message.via == net::Via::worker) heard_directly_ = loop().now();
   // A machine that a release has ended speaks no more; this is an old message.
   if (gone_.contains(report.host)) return message.reply(granted({}));
-  if (message.base != 0 && !apply_brief(report, message.base))
-    return message.reply({0, wire::Verdict::in_full, {}, {}});
-  auto& machine = message.base != 0 ? *fleet_.find(report.host) : machine_for(report);
-  const bool news = message.base != 0 || apply(machine, report, false);
+  const bool brief = message.base != 0;
+  auto* found = brief ? apply_brief(report, message.base) : &machine_for(report);
+  if (found == nullptr) return message.reply({0, wire::Verdict::in_full, {}, {}});
+  auto& machine = *found;
+  const bool news = brief || apply(machine, report, false);
   // An answer with a valid fence extends the worker's lease whatever it holds: also when a direct answer has
   // overtaken the report. Else its tasks would be started elsewhere while they still run (invariant 6).
   if (report.tenure >= machine.tenure) machine.last_answered = loop().now();
@@ -59,27 +59,28 @@
   answer_report(machine, report.counter, message.reply);
 }
 
-void Leader::answer_report(Machine& machine, std::uint64_t counter, const RulingReply& reply) {
+void Leader::answer_report(Machine& machine, std::uint64_t counter, const net::RulingReply& reply) {
   reply(granted(orders_for(machine, counter)));
 }
 
 // Invariant 19: a brief report says that all but the counter is as in the report of counter `base`. It is
 // taken only where that is the last list of tasks that was applied here, in this session and this reign, and
-// nothing waits for a list that is newer; else it must be sent in full. False: in full.
-bool Leader::apply_brief(const wire::Report& report, std::uint64_t base) {
+// nothing waits for a list that is newer; else nothing is returned, and it must be
+// sent in full.
+Machine* Leader::apply_brief(const wire::Report& report, std::uint64_t base) {
   auto* machine = fleet_.find(report.host);
   if (machine == nullptr || !machine->up || !machine->recorded || !machine->confirmed || machine->lost ||
       machine->tenure != report.tenure || machine->listed_counter != base ||
       report.counter <= machine->counter)
-    return false;
+    return nullptr;
   const bool taken_back = std::any_of(machine->binds.begin(), machine->binds.end(), [](const auto& entry) {
     return entry.second.stopping && entry.second.phase == BindPhase::sent;
   });
-  if (taken_back) return false;
+  if (taken_back) return nullptr;
   const bool was_quiet = machine->quiet;
   heard(*machine, report, false);
   if (was_quiet) fleet_.refresh(*machine);
-  return true;
+  return machine;
 }
 
 void Leader::heard(Machine& machine, const wire::Report& report, bool direct) {
@@ -446,7 +447,6 @@
   const auto tenure = std::max<std::uint64_t>(1, machine.tenure.value);
   const wire::Json body{{"fence", fence.value}, {"tenure", tenure}, {"orders", to_json(orders)}};
   machine.last_probe = loop().now();
-  // One that this reign has not heard holds up others' tasks: it is waited for less long.
   const double patience = machine.confirmed ? settings_.pace_s : kUnheardPatience * settings_.pace_s;
   ports_.workers.send(machine.address, {net::Method::post, "/commands", body.dump()}, patience,
                       guard([this, host = machine.host, orders = std::move(orders), fence,
--- a/src/state/store.cpp
+++ b/src/state/store.cpp
@@ -242,7 +242,7 @@
          else if (response.status != 0)
            result.outcome = Outcome::refused;
          // Not written, so not to be counted against what may be.
-         if (response.status == kTooMany) writes_.spend(loop().now(), -puts);
+         if (result.outcome == Outcome::limited) writes_.spend(loop().now(), -puts);
          if (response.status == 400)
            log_->warn("state: transaction of {} writes ({}{}) refused as malformed: {}", keys.size(),
                       keys.empty() ? "" : keys.front(), keys.size() > 1 ? ", ..." : "", response.body);
--- a/src/workers/desk.cpp
+++ b/src/workers/desk.cpp
@@ -42,9 +42,9 @@
       log_(log),
       settings_(std::move(settings)),
       ports_(std::move(ports)),
-      courier_(loop, log, loop.random()() >> 1, timing(settings_),
-               {ports_.peers, [this](wire::Report report, std::uint64_t base, delegation::RulingReply reply) {
-                  ports_.take(std::move(report), base, std::move(reply), Via::delegate);
+      courier_(loop, loop.random()() >> 1, timing(settings_),
+               {ports_.peers, [this](wire::Report report, std::uint64_t base, net::RulingReply reply) {
+                  ports_.take(std::move(report), base, std::move(reply), net::Via::delegate);
                 }}) {}
 
 void Desk::start() { tidy(); }
@@ -68,27 +68,20 @@
   } catch (const wire::Malformed& error) {
     return message.reply({400, Json{{"error", error.what()}}.dump(), std::nullopt});
   }
+  const auto siblings = ports_.relay.siblings();
   if (ports_.leading()) {
-    if (message.relayed) {
-      return ports_.take(
-          std::move(report), 0,
-          [reply = std::move(message.reply)](const Ruling& ruling) {
-            reply(ruling.verdict == Verdict::granted ? granted(ruling) : unable());
-          },
-          Via::sibling);
-    }
-    if (turned_away(report, message.reply)) return;
+    if (!message.relayed && turned_away(report, siblings, message.reply)) return;
     return ports_.take(
         std::move(report), 0,
         [reply = std::move(message.reply)](const Ruling& ruling) {
           reply(ruling.verdict == Verdict::granted ? granted(ruling) : unable());
         },
-        Via::worker);
+        message.relayed ? net::Via::sibling : net::Via::worker);
   }
   // No right to act for the controllers: never 200 on our own word (invariant 18).
   if (message.relayed || leader_.empty() || leader_ == settings_.node) return message.reply(unable());
-  if (!delegating()) return redirect(report.host, message);
-  if (turned_away(report, message.reply)) return;
+  if (!delegating(siblings)) return redirect(report.host, message);
+  if (turned_away(report, siblings, message.reply)) return;
   const auto host = report.host;
   courier_.tell(delegation::Deliver{
       leader_, std::move(report), guard([this, host, reply = std::move(message.reply)](const Ruling& ruling) {
@@ -100,52 +93,52 @@
 
 // Workers are spread only while all siblings that are there understand it: one that does not sends every
 // worker to the leader, and would undo it.
-bool Desk::spreads() const {
-  if (!settings_.delegates) return false;
-  const auto siblings = ports_.relay.siblings();
-  return std::all_of(siblings.begin(), siblings.end(),
-                     [](const auto& sibling) { return !sibling.fresh || sibling.delegates; });
+bool Desk::spreads(const Siblings& siblings) const {
+  return settings_.delegates && std::all_of(siblings.begin(), siblings.end(), [](const auto& sibling) {
+           return !sibling.fresh || sibling.delegates;
+         });
 }
 
-bool Desk::delegating() const {
-  if (leader_.empty() || leader_ == settings_.node || !spreads()) return false;
-  for (const auto& sibling : ports_.relay.siblings())
+bool Desk::delegating(const Siblings& siblings) const {
+  if (leader_.empty() || leader_ == settings_.node || !spreads(siblings)) return false;
+  for (const auto& sibling : siblings)
     if (sibling.node == leader_)
       return sibling.delegates && sibling.silence_s < kLeaderSilentPaces * settings_.pace_s;
   return false;
 }
 
 wire::Load Desk::load() const {
-  const bool takes = ports_.leading() ? spreads() : delegating();
+  const auto siblings = ports_.relay.siblings();
+  const bool takes = ports_.leading() ? spreads(siblings) : delegating(siblings);
   return {static_cast<std::uint32_t>(ours_.size()),
           takes ? static_cast<std::uint32_t>(settings_.capacity) : 0, settings_.zone};
 }
 
 // Names the controller that is to take this worker, if it is not this one.
-bool Desk::turned_away(const wire::Report& report, const net::Reply& reply) {
+bool Desk::turned_away(const wire::Report& report, const Siblings& siblings, const net::Reply& reply) {
   const double now = loop().now();
   const bool settled = ours_.contains(report.host);
-  if (!spreads()) {
+  if (!spreads(siblings)) {
     ours_[report.host] = now;
     return false;
   }
   std::vector<delegation::Member> members{{settings_.node, settings_.zone, static_cast<double>(ours_.size()),
                                            settings_.capacity, ports_.leading()}};
-  for (const auto& sibling : ports_.relay.siblings())
+  for (const auto& sibling : siblings)
     if (sibling.fresh && sibling.load.capacity > 0)
       members.push_back({sibling.node, sibling.load.zone, sibling.load.workers + sent_on_[sibling.node],
                          static_cast<double>(sibling.load.capacity), sibling.node == leader_});
   const auto target = delegation::choose(members, 0, report.rack_room, settled);
-  auto& sent = sent_[report.host];
   // One that comes back could not reach the other.
-  const bool came_back = !sent.controller.empty() && now - sent.at < kRememberReports * settings_.report_s;
+  const auto sent = sent_.find(report.host);
+  const bool came_back = sent != sent_.end() && now - sent->second.at < kRememberReports * settings_.report_s;
   if (target == 0 || (settled && moves_ < 1) || (!settled && came_back)) {
     ours_[report.host] = now;
     return false;
   }
   if (settled) moves_ -= 1;
   const auto& node = members[target].node;
-  sent = {node, now};
+  sent_[report.host] = {node, now};
   ours_.erase(report.host);
   sent_on_[node] += 1;
   reply({421, Json{{"controller", node}}.dump(), std::nullopt});
@@ -163,7 +156,7 @@
   // By now what they tell includes those.
   sent_on_.clear();
   moves_ = std::max(1.0, kMoveShare * static_cast<double>(ours_.size()) / 2);
-  const bool spread = spreads();
+  const bool spread = spreads(ports_.relay.siblings());
   if (spread != std::exchange(spread_before_, spread))
     log_->info(spread ? "workers: spread over all controllers that are there"
                       : "workers: sent to the leader alone, a sibling does not take part");
--- a/src/workers/desk.hpp
+++ b/src/workers/desk.hpp
@@ -45,13 +45,12 @@
 
 class Desk : public runtime::Actor<Desk, Changed, ReportCall, FromSibling> {
  public:
-  enum class Via { worker, sibling, delegate };
   struct Ports {
     net::Relay& relay;
     net::PeerPort& peers;
     std::function<bool()> leading;
     // To the leader of this controller.
-    std::function<void(wire::Report, std::uint64_t base, delegation::RulingReply, Via)> take;
+    std::function<void(wire::Report, std::uint64_t base, net::RulingReply, net::Via)> take;
   };
 
   Desk(runtime::Loop& loop, runtime::Log log, DeskSettings settings, Ports ports);
@@ -69,9 +68,10 @@
     std::string controller;
     double at = 0;
   };
-  bool spreads() const;
-  bool delegating() const;
-  bool turned_away(const wire::Report& report, const net::Reply& reply);
+  using Siblings = std::vector<net::SiblingState>;
+  bool spreads(const Siblings& siblings) const;
+  bool delegating(const Siblings& siblings) const;
+  bool turned_away(const wire::Report& report, const Siblings& siblings, const net::Reply& reply);
   void redirect(const wire::HostId& host, ReportCall& message);
   void tidy();
 
--- a/tests/delegation_test.cpp
+++ b/tests/delegation_test.cpp
@@ -91,8 +91,8 @@
 class CourierTest : public testing::Test {
  protected:
   CourierTest()
-      : courier(loop, runtime::make_log("courier", "off"), 1000, {0.02, 2, 80},
-                {peers, [this](wire::Report taken, std::uint64_t base, RulingReply reply) {
+      : courier(loop, 1000, {0.02, 2, 80},
+                {peers, [this](wire::Report taken, std::uint64_t base, net::RulingReply reply) {
                    tasks.push_back(taken.members.size());
                    bases.push_back(base);
                    replies.push_back(std::move(reply));
@@ -114,7 +114,7 @@
   Peers peers;
   std::vector<std::size_t> tasks;
   std::vector<std::uint64_t> bases;
-  std::vector<RulingReply> replies;
+  std::vector<net::RulingReply> replies;
   std::vector<Ruling> answers;
   Courier courier;
 };
@@ -172,7 +172,7 @@
 TEST_F(CourierTest, ARulingForAnEarlierProcessFindsNothing) {
   deliver(report("n-1", 1, 1));
   const auto earlier = last().id;
-  Courier restarted(loop, runtime::make_log("courier", "off"), 5000, {0.02, 2, 80}, {peers, {}});
+  Courier restarted(loop, 5000, {0.02, 2, 80}, {peers, {}});
   restarted.tell(
       Deliver{"leader", report("n-2", 1, 1), [this](const Ruling& ruling) { answers.push_back(ruling); }});
   loop.pass(0.05);
