leader: the time that a cancellation has is one sum, and a reign begins by fresh reads

Cause, by reading: begin_reign took the state for read one second ago however late the news of the win came; a barrier counted as taken in before its changes were; an answer to a report that is not taken in (of a machine unknown under this reign, of an unknown host, one overtaken) lengthened the worker's lease without stopping what is cancelled there.

--- a/src/app/main.cpp
+++ b/src/app/main.cpp
@@ -136,6 +136,7 @@
       if (const auto tenant = app::too_large_tenant(settings))
         throw app::BadSettings("operator settings: the policy of team '" + *tenant +
                                "' takes more than one value of the state service");
+      std::cout << settings.cancel_budget().describe() << "\n";
       if (settings.policy) std::cout << settings.policy->describe(wall_now());
       std::cout << "settings are fine\n";
       return 0;
--- a/src/app/node.cpp
+++ b/src/app/node.cpp
@@ -14,7 +14,7 @@
   result.report_s = settings.report_s;
   result.pace_s = settings.pace_s;
   result.lease_s = settings.lease_s;
-  result.cancel_s = settings.cancel_s;
+  result.read_age_s = settings.cancel_budget().read_age_s();
   result.gang_wait_s = settings.gang_wait_s;
   result.gang_peer_s = settings.gang_peer_s;
   result.span = settings.span;
@@ -79,7 +79,7 @@
               }}),
       elector_(
           loop, store_, log, settings.host_name, incarnation,
-          election::timing_from(settings.lease_s, settings.cancel_s),
+          election::timing_from(settings.cancel_budget().leader_ttl_s()),
           [this](election::Validity validity) {
             leader_.tell(leader::Valid{validity.hold, validity.until});
           },
--- a/src/app/settings.cpp
+++ b/src/app/settings.cpp
@@ -9,6 +9,7 @@
 #include <iterator>
 #include <limits>
 
+#include "net/http.hpp"
 #include "wire/records.hpp"
 
 namespace bankhill::app {
@@ -128,9 +129,8 @@
   };
   settings.gang_wait_s = or_leases("gang_wait_s", kGangWait);
   settings.gang_peer_s = or_leases("gang_peer_s", kGangPeer);
-  // The leader's lease lives in this margin (docs/SAFETY.md, invariant 2).
-  if (settings.cancel_s <= settings.lease_s)
-    throw BadSettings("settings: field 'cancel_s' must be above 'lease_s'");
+  if (const auto budget = settings.cancel_budget(); !budget.holds())
+    throw BadSettings("settings: field 'cancel_s' leaves too little beyond 'lease_s': " + budget.describe());
   const auto& state = section(params, "state");
   const Json none = Json::object();
   const Json& next = wire::absent(state, "next") ? none : section(state, "next");
@@ -164,6 +164,8 @@
                                   static_cast<double>(share_of_sockets(own.worker_sockets) * controllers));
 }
 
+model::CancelBudget Settings::cancel_budget() const { return {lease_s, cancel_s, net::kWorkerWaitS}; }
+
 Settings parse_settings(const std::string& json_text) {
   try {
     return parse(wire::parse_object(json_text));
--- a/src/app/settings.hpp
+++ b/src/app/settings.hpp
@@ -10,6 +10,7 @@
 #include <string>
 #include <vector>
 
+#include "model/cancel_budget.hpp"
 #include "policy/policy.hpp"
 #include "wire/messages.hpp"
 
@@ -90,6 +91,7 @@
   std::size_t share_of_sockets(double part) const;
   // That all controllers together can take the reports of.
   std::size_t most_machines() const;
+  model::CancelBudget cancel_budget() const;
 };
 
 Settings parse_settings(const std::string& json_text);
--- a/src/election/elector.cpp
+++ b/src/election/elector.cpp
@@ -13,9 +13,9 @@
 constexpr double kAbstain = 16;
 }  // namespace
 
-Timing timing_from(double lease_s, double cancel_s) {
+Timing timing_from(double ttl_s) {
   Timing timing;
-  timing.ttl_s = (cancel_s - lease_s) / 10;
+  timing.ttl_s = ttl_s;
   timing.renew_s = timing.ttl_s / 5;
   return timing;
 }
--- a/src/election/elector.hpp
+++ b/src/election/elector.hpp
@@ -19,9 +19,8 @@
   double drift = 0.001;  // steady clocks may differ by half of this, each way
 };
 
-// The time-to-live is a small part of what a cancellation leaves beyond a worker's lease, so that
-// ttl + lease_s stays well within cancel_s.
-Timing timing_from(double lease_s, double cancel_s);
+// Of a lease with this time-to-live (model/cancel_budget.hpp).
+Timing timing_from(double ttl_s);
 
 // Until when this controller may act as the holder of `hold`, on its own steady clock.
 struct Validity {
--- a/src/leader/fleet.cpp
+++ b/src/leader/fleet.cpp
@@ -570,7 +570,7 @@
   }
   // Invariant 5: no earlier leader answered after this reign began, so the lease has run out by now.
   const double last_renewal = std::max(machine.last_answered, reign_since_);
-  if (now > last_renewal + settings_.lease_s * kDriftAllowance + kAllowanceS) {
+  if (now > last_renewal + settings_.lease_s * model::kDriftAllowance + model::kAllowanceS) {
     if (!machine.confirmed) {
       log_->debug("machine {}: unconfirmed and its lease has run out", machine.host.value);
       machine.confirmed = true;
--- a/src/leader/leader.cpp
+++ b/src/leader/leader.cpp
@@ -79,10 +79,8 @@
   if (const auto* type = flavor(machine.flavor)) machine.size = type->size;
 }
 
-// A leader that cannot learn of cancellations must not keep workers' leases alive.
-bool Leader::deaf() const {
-  return loop().now() - synced_at_ >= (settings_.cancel_s - settings_.lease_s) / 3;
-}
+// A leader that cannot learn of cancellations must not keep workers' leases alive (invariant 34).
+bool Leader::deaf() const { return loop().now() - synced_at_ >= settings_.read_age_s; }
 
 // Invariant 2.
 bool Leader::valid() const { return reigning_ && loop().now() < valid_until_ && !deaf(); }
@@ -100,6 +98,10 @@
     if (has_prefix(change.key, wire::kJobs)) learn_job(change);
   take_waits_news();
   drop_final();
+  follow_leadership();
+}
+
+void Leader::follow_leadership() {
   const auto* leader = view_.find(wire::kLeaderKey);
   const auto* term = view_.find(wire::kTermKey);
   std::optional<wire::LeaderRecord> record;
@@ -112,6 +114,9 @@
   }
   if (record && now_term && record->incarnation == settings_.incarnation && record->hold == hold_) {
     if (!reigning_) {
+      // Invariant 34: the news of the win may have been on its way for long. What was committed since is read
+      // before anything is done.
+      if (deaf()) return loop().now() >= next_sync_ ? resync() : void();
       term_ = first_term_ = *now_term;
       won_ = term->stamp;
       begin_reign();
@@ -140,7 +145,6 @@
   reigning_ = true;
   const double now = loop().now();
   reign_since_ = now;
-  synced_at_ = now - kSyncS;  // the win itself was read just now
   next_round_ = next_list_ = next_catalogue_ = next_sync_ = next_progress_ = next_settle_ = next_summary_ =
       now;
   tries_ = rentals_made_ = 0;
@@ -208,7 +212,7 @@
       if (!parsed) {
         // Invariant 29: which machines it named, and what an earlier leader started there, is not known. All
         // that was not heard by then has lost its lease.
-        blind_until_ = now + settings_.lease_s * kDriftAllowance + kAllowanceS;
+        blind_until_ = now + settings_.lease_s * model::kDriftAllowance + model::kAllowanceS;
         continue;
       }
       const auto& record = *parsed;
@@ -435,10 +439,17 @@
   note(job);
 }
 
+// The age of what is known counts from when the barrier was sent, and from the turn on in which the changes
+// that it brought have been taken in.
 void Leader::resync() {
   const double sent = loop().now();
+  next_sync_ = sent + kSyncS;
   ports_.store.tell(state::Sync{guard([this, sent](bool fine) {
-                                  if (fine) synced_at_ = std::max(synced_at_, sent);
+                                  if (!fine) return;
+                                  loop().post(guard([this, sent] {
+                                    synced_at_ = std::max(synced_at_, sent);
+                                    if (!reigning_) follow_leadership();
+                                  }));
                                 }),
                                 true});
 }
@@ -447,15 +458,12 @@
   tick_timer_ = loop().after(kTickS, guard([this] { tick(); }));
   const double now = loop().now();
   const double passed = now - std::exchange(last_tick_, now);
-  if (!reigning_) return;
-  if (now >= next_sync_) {
-    next_sync_ = now + kSyncS;
-    resync();
-  }
+  if (!reigning_ && hold_ != 0) follow_leadership();
+  if (reigning_ && now >= next_sync_) resync();
   // Nor must it keep the leadership, when its renewals alone are answered.
   // After an outage of the state service both come back, the lease often first: its holder still knows every
   // machine, where another would have to ask all of them, so it is given the time to listen.
-  if (deaf() && now < valid_until_ && now - renewed_since_ > kListenS) return ports_.resign();
+  if (hold_ != 0 && deaf() && now < valid_until_ && now - renewed_since_ > kListenS) return ports_.resign();
   if (!valid()) return;
   age_reclaims(passed);
   if (now >= next_catalogue_) fetch_catalogue();
--- a/src/leader/leader.hpp
+++ b/src/leader/leader.hpp
@@ -15,6 +15,7 @@
 #include "calendar/outlook.hpp"
 #include "cloud/cloud.hpp"
 #include "leader/strangers.hpp"
+#include "model/cancel_budget.hpp"
 #include "model/fleet.hpp"
 #include "model/job.hpp"
 #include "model/waits.hpp"
@@ -35,10 +36,6 @@
 // Paces for the answer of a machine that this reign has not heard: it holds up others' tasks.
 constexpr double kUnheardPatience = 0.5;
 
-// A worker's lease has surely run out after this much more, its clock running slow.
-constexpr double kDriftAllowance = 1.002;
-constexpr double kAllowanceS = 1;
-
 constexpr unsigned kTryBits = 24;  // attempts of one term; the term is above them
 inline std::uint64_t started_under(wire::TryNo try_no) { return try_no.value >> kTryBits; }
 
@@ -54,7 +51,7 @@
   double report_s = 3;  // workers report this often
   double pace_s = 3;    // what is asked again, waited for or given up goes by this (app/settings.hpp)
   double lease_s = 40;
-  double cancel_s = 60;
+  double read_age_s = 6;  // that the last read barrier may have (model/cancel_budget.hpp)
   double gang_wait_s = 45;  // a replica that spans machines is whole in this time, or stopped
   double gang_peer_s = 5;   // after one member is known to be gone, in which its peers are stopped
   // Machines that make one replica, by team and class; empty: one each.
@@ -182,6 +179,7 @@
 
   // Reign (leader.cpp)
   void tick();
+  void follow_leadership();
   void begin_reign();
   void end_reign();
   void learn_job(const state::Change& change);
@@ -259,6 +257,7 @@
   model::Hearing::Times hearing_times() const;
   void heard(model::Machine& machine, const wire::Report& report, bool direct);
   wire::Ruling granted(std::vector<wire::Order> orders) const;
+  std::vector<wire::Order> stops_for(const wire::Report& report) const;
   void apply_member(model::Machine& machine, const wire::MemberReport& member);
   void exited(model::Machine& machine, const wire::MemberReport& member);
   void finish(model::Job& job, std::uint32_t index, std::function<void()> then);
--- a/src/leader/reports.cpp
+++ b/src/leader/reports.cpp
@@ -32,10 +32,25 @@
 constexpr std::size_t kMaxOrders = 400;  // keeps an answer below 64 KiB
 }  // namespace
 
+// Everything that lengthens a worker's lease goes through here (invariant 34).
 wire::Ruling Leader::granted(std::vector<Order> orders) const {
+  if (!valid()) return {};
   return {0, wire::Verdict::granted, wire::Fence{term_}, std::move(orders)};
 }
 
+// What must go at once, whatever the report's age: an answer that lengthens the lease of a machine with tasks
+// of a job that is over must not leave them to the next one, which may never arrive (invariant 34).
+std::vector<Order> Leader::stops_for(const wire::Report& report) const {
+  std::vector<Order> orders;
+  for (const auto& member : report.members) {
+    const auto job = jobs_.find(member.member.job);
+    if (member.phase != MemberPhase::exited && job != jobs_.end() && job->second.over() &&
+        orders.size() < kMaxOrders)
+      orders.push_back({Verb::stop, member.member, member.try_no, 0});
+  }
+  return orders;
+}
+
 void Leader::on(Reported& message) {
   if (!valid()) return message.reply({});
   const auto& report = message.report;
@@ -46,7 +61,7 @@
   if (machine == nullptr) {
     if (brief) return message.reply(in_full);
     meet(report);
-    return message.reply(granted({}));
+    return message.reply(granted(stops_for(report)));
   }
   // Invariant 26: its worker waits for no answer to this one, so none extends a lease.
   if (machine->heard_already(report)) {
@@ -63,7 +78,7 @@
   // An answer with a valid fence extends the worker's lease whatever it holds: also when a direct answer has
   // overtaken the report. Else its tasks would be started elsewhere while they still run (invariant 6).
   machine->last_answered = loop().now();
-  if (!news) return message.reply(granted({}));
+  if (!news) return message.reply(granted(stops_for(report)));
   machine->hearing.answered(loop().now(), report.counter, report.tenure, wire::Fence{term_}, message.by);
   // What is placed now goes out with the answer: that spares a request and a report for each task.
   if (!queue_.jobs().empty() && machine->takes_tasks() && machine->room().cores > 0) {
@@ -91,7 +106,7 @@
   machine.reported = report.counter;
   machine.last_contact = now;
   machine.last_answered = now;  // it may be true all the same (invariant 6)
-  reply(granted({}));
+  reply(granted(stops_for(report)));
 }
 
 // Invariant 26: a host that nothing of ours names. It is recorded and used once it has answered a question;
--- a/tests/settings_test.cpp
+++ b/tests/settings_test.cpp
@@ -98,11 +98,32 @@
   auto broken = good();
   broken["params"]["workers"]["cancel_s"] = 44;
   EXPECT_THROW(parse_settings(broken.dump()), BadSettings);
+  // No leader could extend a lease and be sure that what is cancelled is gone in time (invariant 34).
+  broken["params"]["workers"]["cancel_s"] = 48;
+  EXPECT_THROW(parse_settings(broken.dump()), BadSettings);
   broken = good();
   broken["api_addr"] = "10.0.0.1";
   EXPECT_THROW(parse_settings(broken.dump()), BadSettings);
 }
 
+// Invariant 34: whatever the platform sets, the sum holds or the settings are refused.
+TEST(CancelBudget, HoldsOrIsRefused) {
+  int held = 0;
+  for (double lease = 1; lease < 300; lease += 7)
+    for (double margin = 0.5; margin < 200; margin *= 1.3) {
+      const model::CancelBudget budget(lease, lease + margin, 4);
+      if (!budget.holds()) continue;
+      ++held;
+      EXPECT_GE(budget.read_age_s(), 2);
+      EXPECT_LE(budget.gone_within_s(), lease + margin);
+      EXPECT_GE(budget.gone_within_s(), budget.read_age_s() + lease + 4);
+      EXPECT_LT(budget.leader_ttl_s(), budget.read_age_s()) << "a successor comes too late";
+    }
+  EXPECT_GT(held, 300);
+  EXPECT_FALSE(model::CancelBudget(44, 49, 4).holds());
+  EXPECT_TRUE(model::CancelBudget(44, 69, 4).holds());
+}
+
 TEST(OperatorSettings, UnknownKeysAndBadValuesAreRefused) {
   EXPECT_EQ(parse_operator_settings("alpha: 0.25\n").alpha, 0.25);
   EXPECT_NO_THROW(parse_operator_settings(""));
