sim: transactions carried out late, a slow state service

The world lacked late_writes as operators have it and a state service that answers after seconds, each half of it before or after the request is carried out. The chance of an unanswered transaction was one in 500; it is now one case of the same path. A transaction can be held back and carried out at a moment a test chooses.

--- a/tests/sim/world.cpp
+++ b/tests/sim/world.cpp
@@ -416,9 +416,13 @@
                                  : 0.001;
   const auto& asking = nodes_[static_cast<std::size_t>(node)];
   const bool old = state && asking && asking->before_policies;
-  auto back = [this, me, peer, latency, old, reply = std::move(reply)](Response response) {
+  double before = latency;
+  double after = latency;
+  for (int half = 0; state && now_ < slow_until_ && half < 2; ++half)
+    (chance(0.5) ? before : after) += uniform(slow_from_, slow_to_) / 2;
+  auto back = [this, me, peer, after, old, reply = std::move(reply)](Response response) {
     if (old) response.body = as_read_before_policies(response.body);
-    carry(peer, me, latency, [reply, response = std::move(response)] { reply(response); });
+    carry(peer, me, after, [reply, response = std::move(response)] { reply(response); });
   };
   std::vector<std::uint64_t> starts;
   const auto* cut = link(me, peer);
@@ -433,7 +437,7 @@
                                           body["tenure"].get<std::uint64_t>()};
         }
   }
-  carry(me, peer, latency, [this, node, state, cloud, address, request = std::move(request), back, starts] {
+  carry(me, peer, before, [this, node, state, cloud, address, request = std::move(request), back, starts] {
     const auto arrived = [this, starts] {
       for (const auto start : starts) direct_starts_.erase(start);
     };
@@ -548,15 +552,30 @@
   return {200, Json{{"epoch", epoch_}}.dump(), std::nullopt};
 }
 
+// Some requests get no answer; transactions among them may be carried out, at once or later.
+bool World::unanswered(const Request& request) {
+  const bool any = chance(0.002);
+  if (request.path != "/commit") return any;
+  auto body = Json::parse(request.body);
+  const auto& writes = body["writes"];
+  if (hold_next && std::any_of(writes.begin(), writes.end(), hold_next)) {
+    hold_next = nullptr;
+    held_back = std::move(body);
+    return true;
+  }
+  const bool late = now_ < late_until_ && chance(late_share_);
+  if (!any && !late) return false;
+  if (!late && chance(0.5)) return true;
+  const double delay = late ? uniform(2, 12) : chance(0.5) ? 0.0 : uniform(0.5, 15);
+  at(now_ + delay, [this, body = std::move(body)] { late_executed += commit(body).status == 200 ? 1U : 0U; });
+  return true;
+}
+
 Response World::state_call(int node, const Request& request, const net::Reply& later, bool& answered) {
   const bool refused = refused_until_.contains(node) && now_ < refused_until_[node];
   if (now_ < state_down_until_ || refused) return {503, "{}", std::nullopt};
-  if (chance(0.002)) {  // executed or not, but unanswered
+  if (unanswered(request)) {
     answered = false;
-    if (request.path == "/commit" && chance(0.5)) {
-      const double late = chance(0.5) ? 0.0 : uniform(0.5, 15);
-      at(now_ + late, [this, body = Json::parse(request.body)] { commit(body); });
-    }
     return {};
   }
   const auto limited = [this](std::optional<net::RateLimit>& limit, double rate, double amount) {
@@ -1300,7 +1319,7 @@
   const double length = uniform(2, 30);
   const bool hold = chance(0.5);
   const auto node = node_name(pick(node_count_));
-  const int kind = pick(26);
+  const int kind = pick(28);
   log_->info("fault {} for {} s, {}, {}", kind, length, node, hold ? "packets held" : "packets lost");
   switch (kind) {
     case 0:
@@ -1363,10 +1382,17 @@
                              chance(0.5) ? "" : kZones[static_cast<std::size_t>(pick(2))]);
     case 24:
       return mute(chance(0.5) ? std::max(0, leader()) : pick(node_count_), length);
-    default:
+    case 25:
       for (int i = 0; i < node_count_; ++i)
         if (chance(0.5)) freeze(i, uniform(0.2, 25));
       return;
+    case 26:
+      return late_writes(chance(0.3) ? 1 : uniform(0.1, 0.8), length);
+    default: {
+      // From shorter than any time-out to longer than all.
+      const double most = 0.3 * std::exp2(uniform(0, 6));
+      return slow_state(chance(0.5) ? 0 : most / 2, most, length);
+    }
   }
 }
 
@@ -1376,6 +1402,8 @@
   cloud_down_until_ = std::min(cloud_down_until_, now_);
   no_spot_until_ = std::min(no_spot_until_, now_);
   for (auto& [node, until] : refused_until_) until = std::min(until, now_);
+  late_until_ = std::min(late_until_, now_);
+  slow_until_ = std::min(slow_until_, now_);
   for (auto& [node, until] : mute_until_) until = std::min(until, now_);
   for (auto& [host, machine] : machines_) machine.deaf_until = std::min(machine.deaf_until, now_);
   for (auto& [node, freeze] : freezes_) freeze.pending = 0;
@@ -1677,7 +1705,8 @@
 
 // What may keep a user from an answer, whatever becomes of machines and cloud.
 bool World::troubled() const {
-  return now_ < state_down_until_ || deaf_node >= 0 || unread_node >= 0 || !unread.empty() || no_puts ||
+  return now_ < state_down_until_ || now_ < slow_until_ || deaf_node >= 0 || unread_node >= 0 ||
+         !unread.empty() || no_puts ||
          std::any_of(refused_until_.begin(), refused_until_.end(),
                      [this](const auto& refused) { return now_ < refused.second; }) ||
          std::any_of(links_.begin(), links_.end(),
--- a/tests/sim/world.hpp
+++ b/tests/sim/world.hpp
@@ -11,6 +11,7 @@
 #include <random>
 #include <set>
 #include <string>
+#include <utility>
 #include <vector>
 
 #include "app/node.hpp"
@@ -144,6 +145,17 @@
   void isolate(int node, double seconds, bool hold = false);
   void state_outage(double seconds) { state_down_until_ = now_ + seconds; }
   void refuse(int node, double seconds) { refused_until_[node] = now_ + seconds; }
+  // This part of the transactions gets no answer and is carried out later, after newer ones.
+  void late_writes(double share, double seconds) {
+    late_share_ = share;
+    late_until_ = now_ + seconds;
+  }
+  // Requests to the state service take so long, each half of it before or after they are carried out.
+  void slow_state(double from_s, double to_s, double seconds) {
+    slow_from_ = from_s;
+    slow_to_ = to_s;
+    slow_until_ = now_ + seconds;
+  }
   void cloud_outage(double seconds) { cloud_down_until_ = now_ + seconds; }
   void kill_machine();
   void kill_machines(double share);
@@ -235,7 +247,12 @@
   bool no_puts = false;                              // the limit of writes is used up
   double at_limit = 0;                               // part of the requests that are refused for the limit
   int unanswered_puts = 0;                           // of jobs: so many are executed without an answer
-  bool unchecked_records = false;                    // for starts that no controller ordered
+  // The next transaction with a write that it is true of gets no answer and waits in `held_back`.
+  std::function<bool(const wire::Json& write)> hold_next;
+  std::optional<wire::Json> held_back;
+  net::Response carry_out_held() { return commit(*std::exchange(held_back, std::nullopt)); }
+  std::uint64_t late_executed = 0;  // transactions without an answer, carried out late
+  bool unchecked_records = false;   // for starts that no controller ordered
   // Class -> machines that make one replica; what controllers that boot while `spanning` know of it.
   std::map<std::string, std::uint32_t> spans;
   bool spanning = true;
@@ -286,6 +303,7 @@
 
   net::Response state_call(int node, const net::Request& request, const net::Reply& later, bool& answered);
   net::Response commit(const wire::Json& body);
+  bool unanswered(const net::Request& request);
   bool too_large(const wire::Json& body) const;
   void state_changed();
   wire::Json news(std::uint64_t after) const;
@@ -365,6 +383,11 @@
   std::map<std::uint64_t, std::pair<double, double>> holds_;  // ttl, ends
   std::vector<std::function<void()>> watchers_;
   double state_down_until_ = 0;
+  double late_share_ = 0;
+  double late_until_ = 0;
+  double slow_from_ = 0;
+  double slow_to_ = 0;
+  double slow_until_ = 0;
   bool state_was_down_ = false;
   double troubled_at_ = 0;  // when something between users, controllers and the state service last was broken
   std::map<int, double> refused_until_;
