election, leader: a lost win is tried again, what came late is removed

Cause: an elector whose winning transaction got no answer and was never carried out kept renewing its lease and waited for ever; with the other controllers down, or in the same state, nobody led. And a transaction that makes a rental, a group of machines or a bucket of finished tasks has the condition that there is none, which is true again once the key is deleted: carried out late, it left a record that the next leader takes for true.

Change: the win is repeated under the same lease while no leader is known; each win has a new term, so any number of copies win once. A leader deletes a key of its own reign that appears and that it does not know.

--- a/src/election/elector.cpp
+++ b/src/election/elector.cpp
@@ -119,14 +119,18 @@
                           true});
 }
 
-void Elector::take(std::uint64_t hold) {
+// `again`: whether an earlier one was applied is not known. Any number of them win once at most, since each
+// win has a new term.
+void Elector::take(std::uint64_t hold, bool again) {
+  untaken_ = false;
   state::Transaction transaction;
   transaction.when = {{wire::kTermKey, view_.stamp(wire::kTermKey)}, {wire::kLeaderKey, wire::Stamp{0}}};
   transaction.writes = {{wire::kTermKey, next_term(), std::nullopt},
                         {wire::kLeaderKey, to_json(wire::LeaderRecord{node_, incarnation_, hold}), hold}};
-  store_.tell(state::Commit{std::move(transaction), guard([this, hold](state::CommitResult result) {
+  store_.tell(state::Commit{std::move(transaction), guard([this, hold, again](state::CommitResult result) {
                               if (hold_ != hold) return;
-                              if (result.outcome != Outcome::done && result.outcome != Outcome::unknown) {
+                              untaken_ = result.outcome != Outcome::done;
+                              if (!again && untaken_ && result.outcome != Outcome::unknown) {
                                 log_->debug("election: another controller was first");
                                 store_.tell(state::EndLease{hold});
                                 hold_ = 0;
@@ -150,7 +154,8 @@
                         })});
   // A lease that took no key is of no use: another controller leads, or the transaction never arrived.
   const auto record = leader();
-  if (record && record->hold != hold) lost();
+  if (record && record->hold != hold) return lost();
+  if (!record && std::exchange(untaken_, false)) take(hold, true);
 }
 
 void Elector::on(Resign&) {
--- a/src/election/elector.hpp
+++ b/src/election/elector.hpp
@@ -50,7 +50,7 @@
  private:
   void consider();
   void campaign();
-  void take(std::uint64_t hold);
+  void take(std::uint64_t hold, bool again = false);
   void renew();
   void lost();
   bool leading() const;
@@ -70,6 +70,7 @@
   double vacant_since_ = -1;
   double abstain_until_ = -1;
   bool campaigning_ = false;
+  bool untaken_ = false;  // whether the transaction that is to win was not seen to be applied
   bool raising_ = false;
   runtime::Timer retry_;
   runtime::Timer renew_timer_;
--- a/src/leader/intents.cpp
+++ b/src/leader/intents.cpp
@@ -2,6 +2,7 @@
 // service counts every put, so machines and finished tasks share keys, and a write waits a little for others
 // of the same key to join it.
 #include <algorithm>
+#include <cstdlib>
 #include <iterator>
 #include <utility>
 
@@ -90,6 +91,22 @@
   }
 }
 
+// A key of this reign's that has gone was made once more by a transaction that came late: its condition, that
+// there is none, was true again. The next leader would take it for what is.
+void Leader::drop_stray(const std::string& key) {
+  const auto rest = [&key](const std::string& prefix) { return key.substr(prefix.size()); };
+  bool stray = false;
+  if (key.starts_with(wire::kRentals + rental_prefix()))
+    stray = !rentals_.contains(rest(wire::kRentals));
+  else if (key.starts_with(wire::kMachines + std::to_string(first_term_) + "-"))
+    stray = !groups_.contains(rest(wire::kMachines));
+  else if (key.starts_with(wire::kFinished))
+    if (const auto number = std::strtoull(rest(wire::kFinished).c_str(), nullptr, 10);
+        number >> 20 == first_term_ && key == wire::finished_key(number))
+      stray = !buckets_.contains(number);
+  if (stray && !intents_.contains(key)) store(key, std::nullopt, Patience::tidying);
+}
+
 std::size_t Leader::shared_bytes() const {
   return std::min(kMostShared, static_cast<std::size_t>(static_cast<double>(value_bytes_) * kShareOfValue));
 }
--- a/src/leader/leader.cpp
+++ b/src/leader/leader.cpp
@@ -91,6 +91,7 @@
   // Jobs last: what they wait for may stand under further keys of the same transaction.
   for (const auto& change : *message.changes) {
     if (has_prefix(change.key, wire::kJobs) || !view_.apply(change)) continue;
+    if (reigning_ && change.data) drop_stray(change.key);
     if (auto flavors = ports_.store.parsed(change.key, change.stamp,
                                            [&] { return catalogue_.learn(change.key, change.data); });
         flavors && *flavors)
--- a/src/leader/leader.hpp
+++ b/src/leader/leader.hpp
@@ -230,6 +230,7 @@
   bool drop_if_empty(const std::string& key);
   bool make_fit(const std::string& key);
   bool move_excess(const std::string& key);
+  void drop_stray(const std::string& key);
   Shared* shared(const std::string& key);
   void malformed(Batch batch);
   void flush_soon();
--- /dev/null
+++ b/tests/meetings_state_test.cpp
@@ -0,0 +1,288 @@
+// Meetings of docs/MEETINGS.md at the state service: transactions that are carried out late, and a service
+// that is slow or refuses.
+#include <gtest/gtest.h>
+
+#include <algorithm>
+
+#include "sim/world.hpp"
+
+namespace bankhill::sim {
+namespace {
+
+SimJob batch(std::uint32_t members, double run_s, std::vector<std::string> needs = {}) {
+  SimJob job;
+  job.spec.queue = "any";
+  job.spec.owner = "red";
+  job.spec.members = members;
+  job.spec.need = {1, 0, 1};
+  job.spec.bundle = "img-1";
+  job.spec.size_gb = 1;
+  job.spec.guess_s = job.run_s = run_s;
+  for (auto& need : needs) job.spec.waits_on.push_back({std::move(need)});
+  job.kept = true;
+  return job;
+}
+
+// Jobs of all kinds: some end, some are cancelled, with what waits for them.
+void submit_some(World& world) {
+  const auto first = world.submit(batch(3, 4));
+  world.submit(batch(2, 2, {first}));
+  const auto cancelled = world.submit(batch(2, 60));
+  const auto doomed = world.submit(batch(1, 1, {cancelled}));
+  auto wide = batch(12, 3);  // its tasks end at different times, on several machines
+  wide.spec.need.cores = 4;
+  world.submit(wide);
+  auto service = batch(2, 0);
+  service.spec.shape = wire::Shape::daemon;
+  world.submit(service);
+  for (auto* job : {&world.jobs().at(cancelled), &world.jobs().at(doomed)}) job->kept = false;
+  world.at(world.now() + world.uniform(3, 12), [&world, cancelled] { world.cancel(cancelled); });
+}
+
+bool ended(World& world, const SimJob& job) { return job.cancel_asked || world.doomed(job, world.now()); }
+
+bool over(World& world, const SimJob& job) {
+  if (!job.accepted) return false;
+  if (ended(world, job)) return job.told_done || job.told_cancelled > 0;
+  return job.told_done || job.spec.shape != wire::Shape::sweep;
+}
+
+// Once all is over, or the time is.
+void expect_all_over(World& world, double within) {
+  const auto all = [&world] {
+    return std::all_of(world.jobs().begin(), world.jobs().end(),
+                       [&world](const auto& job) { return over(world, job.second); });
+  };
+  for (const double until = world.now() + within; world.now() < until && !all();) world.run(world.now() + 5);
+  world.run(world.now() + 10);
+  EXPECT_TRUE(world.broken().empty()) << listing(world.broken());
+  EXPECT_EQ(world.leaders(), 1);
+  for (const auto& [uid, job] : world.jobs())
+    EXPECT_TRUE(over(world, job)) << uid << ": " << job.completed.size() << " of " << job.spec.members;
+}
+
+std::string key_of(const wire::Json& write) { return write.value("write", write.value("delete", "")); }
+
+// ---- a transaction without an answer, carried out late
+
+struct Record {
+  const char* name;
+  std::string prefix;
+  const char* what;  // "create", "update", "delete", or a job's phase
+};
+
+bool matches(const World& world, const Record& record, const wire::Json& write) {
+  const auto key = key_of(write);
+  if (!key.starts_with(record.prefix)) return false;
+  const std::string what = record.what;
+  if (what == "delete") return write.contains("delete");
+  if (!write.contains("write")) return false;
+  if (what == "create" || what == "update") return world.keys().contains(key) == (what == "update");
+  return write["data"]["phase"] == what;
+}
+
+// Whether a later transaction has done what the held one was to do.
+bool repeated(const World& world) {
+  const auto& body = *world.held_back;
+  for (const auto& condition : body["when"]) {
+    if (condition["k"] == wire::kTermKey) continue;
+    const auto found = world.keys().find(condition["k"].get<std::string>());
+    const auto stamp = found == world.keys().end() ? 0 : found->second.stamp;
+    if (stamp != condition["stamp"].get<std::uint64_t>()) return true;
+  }
+  return false;
+}
+
+// All keys that it was to create have come and gone again: its conditions are true once more.
+bool gone_again(const World& world, bool& came) {
+  bool there = false;
+  for (const auto& write : (*world.held_back)["writes"])
+    there = there || world.keys().contains(key_of(write));
+  came = came || there;
+  return came && !there;
+}
+
+std::vector<Record> records() {
+  return {{"acceptance", wire::kJobs, "accepted"},
+          {"withdrawal", wire::kJobs, "cancelled"},
+          {"done", wire::kJobs, "done"},
+          {"group_created", wire::kMachines, "create"},
+          {"group_changed", wire::kMachines, "update"},
+          {"group_deleted", wire::kMachines, "delete"},
+          {"rental_created", wire::kRentals, "create"},
+          {"rental_changed", wire::kRentals, "update"},
+          {"rental_deleted", wire::kRentals, "delete"},
+          {"bucket_created", wire::kFinished, "create"},
+          {"bucket_changed", wire::kFinished, "update"},
+          {"bucket_deleted", wire::kFinished, "delete"},
+          {"bounds", wire::kBoundsKey, "update"},
+          {"catalogue", wire::kCatalogueKey, "create"},
+          {"win", wire::kLeaderKey, "create"},
+          {"term_raised", wire::kLeaderKey, "update"},
+          {"policy", wire::kPolicyKey, "update"},
+          {"tenant_deleted", wire::kPolicies, "delete"}};
+}
+
+using Held = std::tuple<int, int>;  // which record, controllers
+class LateTransaction : public testing::TestWithParam<Held> {};
+INSTANTIATE_TEST_SUITE_P(Records, LateTransaction,
+                         testing::Combine(testing::Range(0, 18), testing::Values(3, 5)), [](const auto& of) {
+                           return records()[static_cast<std::size_t>(std::get<0>(of.param))].name +
+                                  std::string("_") + std::to_string(std::get<1>(of.param));
+                         });
+
+std::string policy_file(int version) {
+  const auto text =
+      "tenants:\n  version: " + std::to_string(version) + "\n  teams:\n    red:\n      spans: { other: 2 }\n";
+  return version == 1 ? text + "    blue:\n      spans: { other: 2 }\n" : text;
+}
+
+// Guards against a write that matters again when a newer one has been made: each kind of record is held back,
+// its writer repeats it, and the first copy comes at once after the repetition, some seconds later, or when
+// the key is gone once more. Then all controllers end and the next leader reads what is stored.
+TEST_P(LateTransaction, ChangesNothingAfterItsRepetition) {
+  const auto record = records()[static_cast<std::size_t>(std::get<0>(GetParam()))];
+  int played = 0;
+  for (int moment = 0; moment < 4; ++moment) {
+    SCOPED_TRACE("moment " + std::to_string(moment));
+    World world(static_cast<std::uint64_t>(40 + moment), std::get<1>(GetParam()));
+    world.hold_next = [&world, record](const wire::Json& write) { return matches(world, record, write); };
+    for (int node = 0; node < world.nodes(); ++node) {
+      world.operator_files[node] = policy_file(1);
+      world.crash(node, 0);
+    }
+    world.at(20, [&world] {
+      world.operator_files[1] = policy_file(2);
+      world.crash(1, 0.5);
+    });
+    for (const double when : {6.0, 14.0, 40.0, 60.0}) world.at(when, [&world] { submit_some(world); });
+    // Machines come and go, and with them their records; starts that may still arrive raise the term.
+    for (const double when : {30.0, 50.0}) world.at(when, [&world] { world.kill_machines(0.5); });
+    for (const double when : {15.0, 40.5}) world.at(when, [&world] { world.deafen_machines(0.7, 8); });
+    bool came = false;
+    while (world.now() < 150 && !world.held_back) world.run(world.now() + 0.05);
+    if (!world.held_back) continue;
+    bool newer = false;
+    for (const double limit = world.now() + 15; world.now() < limit && !newer; newer = repeated(world))
+      world.run(world.now() + 0.05);
+    if (moment == 1) world.run(world.now() + 1.5);
+    if (moment == 2) world.run(world.now() + world.uniform(2, 12));
+    if (moment == 3)
+      for (const double limit = world.now() + 60; world.now() < limit && !gone_again(world, came);)
+        world.run(world.now() + 0.1);
+    const auto writes = (*world.held_back)["writes"];
+    const auto status = world.carry_out_held().status;
+    ++played;
+    world.run(world.now() + 20);
+    const bool made = std::string(record.what) == "create";
+    EXPECT_TRUE(status != 200 || !newer || made) << writes.dump();
+    // Made once more, for nobody: it is removed.
+    for (const auto& write : writes)
+      EXPECT_TRUE(status != 200 || !made || !world.keys().contains(key_of(write)))
+          << key_of(write) << " is left";
+    for (int node = 0; node < world.nodes(); ++node) world.crash(node, 1);
+    world.run(std::max(world.now() + 5, 65.0));
+    expect_all_over(world, 120);
+  }
+  EXPECT_GE(played, 3) << "held back too seldom";
+}
+
+class Meeting : public testing::TestWithParam<int> {};
+INSTANTIATE_TEST_SUITE_P(Controllers, Meeting, testing::Values(3, 5));
+
+// Guards against luck in the mass: a part or all of the transactions of every controller come late, also
+// those of elections, while users submit, cancel and ask, and the leader ends.
+TEST_P(Meeting, TransactionsCarriedOutLate) {
+  std::uint64_t late = 0;
+  for (const double share : {0.3, 1.0})
+    for (int seed = 1; seed <= 4; ++seed) {
+      SCOPED_TRACE("share " + std::to_string(share) + ", seed " + std::to_string(seed));
+      World world(static_cast<std::uint64_t>(seed), GetParam());
+      world.run(5);
+      submit_some(world);
+      world.run(12 + seed);
+      world.late_writes(share, 40);
+      for (int i = 1; i < 5; ++i) world.at(world.now() + 8 * i, [&world] { submit_some(world); });
+      world.at(world.now() + 9 * seed, [&world] { world.crash(std::max(0, world.leader()), 1); });
+      world.run(70);
+      late += world.late_executed;
+      expect_all_over(world, 170);
+    }
+  EXPECT_GE(late, 100U);
+}
+
+// Guards against a controller that waits for ever for a win that never comes: its transaction is lost, its
+// lease is renewed, and no other controller can take over.
+TEST_P(Meeting, AWinThatIsLostIsTriedAgain) {
+  World world(31, GetParam());
+  int lost = 0;
+  std::function<bool(const wire::Json&)> win = [&](const wire::Json& write) {
+    if (key_of(write) != wire::kLeaderKey || lost >= world.nodes()) return false;
+    ++lost;
+    world.at(world.now() + 0.001, [&] { world.hold_next = win; });
+    return true;
+  };
+  world.hold_next = win;
+  for (int node = 1; node < world.nodes(); ++node) world.crash(node, 120);
+  world.run(20);
+  EXPECT_GE(lost, 1);
+  world.run(60);
+  EXPECT_EQ(world.leaders(), 1);
+  world.run(130);
+  submit_some(world);
+  expect_all_over(world, 120);
+}
+
+// ---- the state service slow, or refusing the leader and then all
+
+struct Slow {
+  double from_s;
+  double to_s;
+};
+
+// Guards against an answer that comes after its time-out, or is older than it looks: the service takes from
+// less to more than each time-out (a second, the lease's renewal, a list, a watch), while users submit,
+// cancel and ask, a leader ends and another wins slowly, and a controller reads all keys.
+TEST_P(Meeting, TheStateServiceIsSlow) {
+  for (const auto& slow : {Slow{0.1, 0.9}, {0.5, 1.5}, {0.9, 1.1}, {0, 3}, {2, 6}, {0, 16}})
+    for (int seed = 1; seed <= 3; ++seed) {
+      SCOPED_TRACE("slow " + std::to_string(slow.to_s) + ", seed " + std::to_string(seed));
+      World world(static_cast<std::uint64_t>(seed), GetParam());
+      world.run(5);
+      submit_some(world);
+      world.run(10 + 3 * seed);
+      world.slow_state(slow.from_s, slow.to_s, 60);
+      for (int i = 1; i < 6; ++i) world.at(world.now() + 8 * i, [&world] { submit_some(world); });
+      world.at(world.now() + 10 * seed, [&world] { world.crash(std::max(0, world.leader()), 1); });
+      world.at(world.now() + 15 * seed, [&world] { world.crash(world.pick(world.nodes()), 1); });
+      const auto term = [&world] { return world.keys().at(wire::kTermKey).data["n"].get<int>(); };
+      const int before = term();
+      world.run(70);
+      EXPECT_TRUE(term() > before || slow.to_s > 1) << "nobody won";
+      expect_all_over(world, 150);
+    }
+}
+
+// Guards against tasks that outlive their cancellation, and against older answers: the service refuses the
+// leader alone, then all for up to three times cancel_s, while users cancel and ask.
+TEST_P(Meeting, RefusedAloneAndThenAll) {
+  for (int seed = 1; seed <= 8; ++seed) {
+    SCOPED_TRACE("seed " + std::to_string(seed));
+    World world(static_cast<std::uint64_t>(seed), GetParam());
+    world.run(5);
+    std::vector<std::string> jobs;
+    for (int i = 0; i < 10; ++i) jobs.push_back(world.submit(batch(2, 300)));
+    world.run(40);
+    const double refused = world.uniform(1, 14);
+    world.refuse(std::max(0, world.leader()), refused);
+    for (const auto& uid : jobs)
+      world.at(world.now() + world.uniform(0, refused), [&world, uid] { world.cancel(uid); });
+    world.at(world.now() + world.uniform(0.8, 1) * refused,
+             [&world, seed] { world.state_outage(15 * seed); });
+    world.run(world.now() + refused + 15 * seed);
+    expect_all_over(world, 100);
+  }
+}
+
+}  // namespace
+}  // namespace bankhill::sim
