leader: a job whose tasks are all in buckets is ended; a moved chunk loses nothing

Cause: only the exit that completes a job wrote its end. A bucket is rendered from what is in memory, so one written for another job's exit could hold the last task before the job's own record was taken; a new leader read all tasks done, the worker's exit was no news to it, and the job was never done. And of a chunk under two keys (a leader ended while a part of a bucket was moved) the first was kept as it stood and the second rewritten without it: exits that only the second held were lost at the next change of leader and run again.

Change: what is read complete is ended (Leader::write_done). What a bucket gives up is written where it stays first, deleted then.

--- a/src/leader/leader.cpp
+++ b/src/leader/leader.cpp
@@ -1,6 +1,7 @@
 #include "leader/leader.hpp"
 
 #include <algorithm>
+#include <memory>
 #include <utility>
 
 namespace bankhill::leader {
@@ -274,8 +275,7 @@
   for (const auto& [id, hex] : record) wire::parse_finished_hex(hex, id.chunk);
   const bool single = data.is_string();  // of version 0.1
   const auto own_number = single ? 0 : std::stoull(name);
-  std::uint64_t moved_to = 0;
-  bool twice = false;
+  std::set<std::uint64_t> homes;  // of what is not to stay here
   for (const auto& [id, hex] : record) {
     const auto found = live_.find(id.job);
     if (found == live_.end()) continue;
@@ -283,13 +283,15 @@
     for (const auto index : wire::parse_finished_hex(hex, id.chunk))
       if (index < job.spec.members && job.marks[index] != model::kDone) job.set_mark(index, model::kDone);
     note(job);
+    // The bucket may have been written before the job's own record: no exit is left that would end it.
+    if (job.finished == job.spec.members) write_done(job, {});
     if (single) {
-      moved_to = bucket_for(job, id.chunk);
+      homes.insert(bucket_for(job, id.chunk));
       continue;
     }
     // A chunk has one home: of two, while some were being moved (move_excess), the first.
-    if (job.buckets.contains(id.chunk)) {
-      twice = true;
+    if (const auto home = job.buckets.find(id.chunk); home != job.buckets.end()) {
+      homes.insert(home->second);
       continue;
     }
     const auto number = own_number;
@@ -298,10 +300,17 @@
     bucket.bytes += wire::chunk_bytes(job.spec.members, id.chunk);
     job.buckets[id.chunk] = number;
   }
-  if (moved_to != 0)
-    store_bucket(moved_to, Patience::exits, [this, key] { store(key, std::nullopt, Patience::tidying); });
-  else if (twice || single || !buckets_.contains(own_number))
-    store(key, std::nullopt, Patience::tidying);  // its jobs are over, or some of it stands elsewhere
+  if (homes.empty()) {
+    if (single || !buckets_.contains(own_number))
+      store(key, std::nullopt, Patience::tidying);  // its jobs are over
+    return true;
+  }
+  // Written there first: what stood here may be the newer part.
+  const auto left = std::make_shared<std::size_t>(homes.size());
+  for (const auto home : homes)
+    store_bucket(home, Patience::exits, [this, key, left] {
+      if (--*left == 0) store(key, std::nullopt, Patience::tidying);
+    });
   return true;
 }
 
--- a/src/leader/leader.hpp
+++ b/src/leader/leader.hpp
@@ -262,6 +262,7 @@
   void apply_member(model::Machine& machine, const wire::MemberReport& member);
   void exited(model::Machine& machine, const wire::MemberReport& member);
   void finish(model::Job& job, std::uint32_t index, std::function<void()> then);
+  void write_done(const model::Job& job, Then then);
   std::function<void()> mark_stored(const model::Machine& machine, const wire::MemberId& member);
   void failed(model::Machine& machine, model::Job& job, wire::ExitCause cause);
   void acquit(model::Job& job);
--- a/src/leader/reports.cpp
+++ b/src/leader/reports.cpp
@@ -549,6 +549,10 @@
               job.spec.uid.value, job.spec.members, loop().wall() - job.accepted_at, job.spec.queue,
               job.spec.guess_s);
   ++tally_["jobs done"];
+  write_done(job, std::move(then));
+}
+
+void Leader::write_done(const Job& job, Then then) {
   store(wire::job_key(job.spec.uid),
         final_json(record_of(job), wire::JobPhase::done, loop().wall(), value_bytes_),
         waits_.awaited(job.spec.uid) ? Patience::awaited : Patience::none, std::move(then));
--- a/tests/sim/world.cpp
+++ b/tests/sim/world.cpp
@@ -398,8 +398,9 @@
 }
 
 void World::carry(const std::string& from, const std::string& to, double latency,
-                  std::function<void()> deliver) {
+                  std::function<void()> deliver, const std::string& body) {
   latency += out_delay(from);
+  if (held_up) latency += held_up(from, to, body);
   const auto* cut = link(from, to);
   if (cut == nullptr) return at(now_ + latency, std::move(deliver));
   // Held packets come when the cut is over, even if the sender has given up.
@@ -418,7 +419,8 @@
   const bool old = state && asking && asking->before_policies;
   auto back = [this, me, peer, latency, old, reply = std::move(reply)](Response response) {
     if (old) response.body = as_read_before_policies(response.body);
-    carry(peer, me, latency, [reply, response = std::move(response)] { reply(response); });
+    carry(
+        peer, me, latency, [reply, response] { reply(response); }, response.body);
   };
   std::vector<std::uint64_t> starts;
   const auto* cut = link(me, peer);
@@ -433,7 +435,8 @@
                                           body["tenure"].get<std::uint64_t>()};
         }
   }
-  carry(me, peer, latency, [this, node, state, cloud, address, request = std::move(request), back, starts] {
+  const auto body = request.body;
+  const auto arrives = [this, node, state, cloud, address, request = std::move(request), back, starts] {
     const auto arrived = [this, starts] {
       for (const auto start : starts) direct_starts_.erase(start);
     };
@@ -459,7 +462,8 @@
       });
     }
     arrived();  // nobody is there
-  });
+  };
+  carry(me, peer, latency, arrives, body);
 }
 
 // ---- state service
@@ -529,6 +533,9 @@
       failed.push_back(condition["k"]);
   }
   if (!failed.empty()) return {409, Json{{"failed", failed}, {"epoch", epoch_}}.dump(), std::nullopt};
+  for (const auto& write : body["writes"])
+    if (write.contains("write") && untaken.contains(write["write"].get<std::string>()))
+      return {400, R"({"error":"too large"})", std::nullopt};
   check_commit(body);
   if (!body["writes"].empty()) {
     ++epoch_;
@@ -802,14 +809,15 @@
     worker.lease_from = std::max(worker.lease_from, sent);
     execute(worker, wire::parse_orders(body["orders"]));
   };
-  carry(zone, node_name(node), 0.002 + report_delay,
-        [this, node, zone, host = machine.host, request, receive] {
-          to_node(node, request, [this, zone, node, host, receive](const Response& response) {
-            carry(node_name(node), zone, 0.002, [this, node, host, receive, response] {
-              if (!unheard(node, host, response.body)) receive(response);
-            });
-          });
-        });
+  const auto arrives = [this, node, zone, host = machine.host, request, receive] {
+    to_node(node, request, [this, zone, node, host, receive](const Response& response) {
+      const auto back = [this, node, host, receive, response] {
+        if (!unheard(node, host, response.body)) receive(response);
+      };
+      carry(node_name(node), zone, 0.002, back, response.body);
+    });
+  };
+  carry(zone, node_name(node), 0.002 + report_delay, arrives, request.body);
 }
 
 bool World::unheard(int node, const std::string& host, const std::string& body) {
--- a/tests/sim/world.hpp
+++ b/tests/sim/world.hpp
@@ -242,6 +242,11 @@
   bool split_seen = false;     // also where the leader knows no replicas
   double half_limit_s = 0;     // in which a replica that is partly there is whole or gone; 0: not checked
   bool moves_checked = false;  // replicas are stopped by nothing but moves: a part of a job's at a time
+  // Keys whose writes are refused as malformed.
+  std::set<std::string> untaken;
+  // Seconds by which this message is late: of controllers, "state", machines (commands and their answers)
+  // and "workers-" with a zone (reports and theirs); the body is empty between controllers.
+  std::function<double(const std::string& from, const std::string& to, const std::string& body)> held_up;
   // Whether all members of a replica run, and how many replicas of the job are whole.
   bool whole(const std::string& uid, std::uint32_t replica) const;
   std::uint32_t whole(const std::string& uid) const;
@@ -280,7 +285,8 @@
   void on_node(int node, std::function<void()> work);
   double out_delay(const std::string& from) const;
   // Carries a message; it arrives late or never when the link is cut.
-  void carry(const std::string& from, const std::string& to, double latency, std::function<void()> deliver);
+  void carry(const std::string& from, const std::string& to, double latency, std::function<void()> deliver,
+             const std::string& body = "");
   const Link* link(const std::string& a, const std::string& b) const;
   void http(int node, const std::string& address, net::Request request, net::Reply reply);
 
