election: a win that never arrived is given up

Cause: a controller whose winning transaction was lost (no answer, not executed) kept and renewed its lease and never campaigned again while no other controller won: alone, or with all others away, nobody led for good.

Change: a win that has not shown after two times-to-live is given up; its lease is ended, so that the transaction fails should it still come.

Test: Meetings.AWinThatNeverArrived, with one, three and five controllers, failed before.

--- a/src/election/elector.cpp
+++ b/src/election/elector.cpp
@@ -11,6 +11,7 @@
 // In times-to-live of the leader's lease.
 constexpr double kLetOthersFirst = 2;
 constexpr double kAbstain = 16;
+constexpr double kUnseen = 2;  // after which a win that did not show never arrived
 }  // namespace
 
 Timing timing_from(double lease_s, double cancel_s) {
@@ -120,6 +121,7 @@
 }
 
 void Elector::take(std::uint64_t hold) {
+  taken_at_ = loop().now();
   state::Transaction transaction;
   transaction.when = {{wire::kTermKey, view_.stamp(wire::kTermKey)}, {wire::kLeaderKey, wire::Stamp{0}}};
   transaction.writes = {{wire::kTermKey, next_term(), std::nullopt},
@@ -148,9 +150,12 @@
                           if (!*renewed) return lost();
                           on_validity_({hold, sent + timing_.ttl_s * (1 - timing_.drift)});
                         })});
-  // A lease that took no key is of no use: another controller leads, or the transaction never arrived.
+  // A lease that took no key is of no use: another controller leads, or the transaction never arrived. It is
+  // ended, so that one that comes later fails.
   const auto record = leader();
-  if (record && record->hold != hold) lost();
+  if (record ? record->hold == hold : sent - taken_at_ < kUnseen * timing_.ttl_s) return;
+  store_.tell(state::EndLease{hold});
+  lost();
 }
 
 void Elector::on(Resign&) {
--- a/src/election/elector.hpp
+++ b/src/election/elector.hpp
@@ -68,6 +68,7 @@
   state::View view_;
   std::uint64_t hold_ = 0;  // 0: no lease
   double vacant_since_ = -1;
+  double taken_at_ = 0;  // when the transaction that is to win was sent
   double abstain_until_ = -1;
   bool campaigning_ = false;
   bool raising_ = false;
--- a/tests/meetings_orders_test.cpp
+++ b/tests/meetings_orders_test.cpp
@@ -309,6 +309,29 @@
   EXPECT_GT(orders, 5);
 }
 
+// All end, one is back, and the transaction with which it would win is lost, or comes when it has given it
+// up: it tries again, and what comes late changes nothing.
+TEST_P(Meetings, AWinThatNeverArrived) {
+  for (const int controllers : {1, GetParam()})
+    for (const double late : {3.0, 7.0, 300.0}) {
+      World world(static_cast<std::uint64_t>(90 + controllers), controllers);
+      world.run(5);
+      const auto uid = world.submit(task_of(1, 3, 3));
+      world.run(world.now() + 3);
+      for (int node = 0; node < controllers; ++node) world.crash(node, node == 0 ? 0.5 : 60);
+      double sent = 0;
+      world.held_up = [&](const std::string&, const std::string& to, const std::string& body) {
+        if (sent > 0 || to != "state" || body.find(wire::kLeaderKey) == std::string::npos) return 0.0;
+        sent = world.now();
+        return late;
+      };
+      EXPECT_TRUE(until(world, 25, [&] { return sent > 0 && world.leader() == 0; })) << late;
+      world.run(world.now() + 60);
+      EXPECT_TRUE(world.jobs().at(uid).told_done) << late;
+      expect_done(world, std::to_string(late));
+    }
+}
+
 // ---- commands and answers held up for seconds
 
 // The first direct order of this kind for a task of this job, and when it arrives.
