--- a/src/election/elector.cpp
+++ b/src/election/elector.cpp
@@ -11,6 +11,7 @@
 // In times-to-live of the leader's lease.
 constexpr double kLetOthersFirst = 2;
 constexpr double kAbstain = 16;
+constexpr double kUnseen = 2;  // after which a win that does not show is given up
 }  // namespace
 
 Timing timing_from(double ttl_s) {
@@ -123,6 +124,7 @@
 // win has a new term.
 void Elector::take(std::uint64_t hold, bool again) {
   untaken_ = false;
+  if (!again) taken_at_ = loop().now();
   state::Transaction transaction;
   transaction.when = {{wire::kTermKey, view_.stamp(wire::kTermKey)}, {wire::kLeaderKey, wire::Stamp{0}}};
   transaction.writes = {{wire::kTermKey, next_term(), std::nullopt},
@@ -152,10 +154,15 @@
                           if (!*renewed) return lost();
                           on_validity_({hold, sent + timing_.ttl_s * (1 - timing_.drift)});
                         })});
-  // A lease that took no key is of no use: another controller leads, or the transaction never arrived.
+  // A lease that took no key is of no use: another controller leads, or nothing shows that our transaction
+  // arrived. It is ended, so that one that comes later fails.
   const auto record = leader();
-  if (record && record->hold != hold) return lost();
-  if (!record && std::exchange(untaken_, false)) take(hold, true);
+  if (record && record->hold == hold) return;
+  if (record || sent - taken_at_ >= kUnseen * timing_.ttl_s) {
+    store_.tell(state::EndLease{hold});
+    return lost();
+  }
+  if (std::exchange(untaken_, false)) take(hold, true);
 }
 
 void Elector::on(Resign&) {
