--- /dev/null
+++ b/tests/meetings_cut_test.cpp
@@ -0,0 +1,364 @@
+// Two meetings of troubles (docs/MEETINGS.md): a leader cut from the state service and its siblings, not from
+// workers and users; and a leader that ends while machines with long tasks are out of reach or do not hear.
+#include <gtest/gtest.h>
+
+#include <set>
+
+#include "sim/world.hpp"
+
+namespace bankhill::sim {
+namespace {
+
+constexpr double kLease = 20;  // of the simulated site
+constexpr double kCancel = 40;
+
+SimJob batch(std::uint32_t members, double cores, double run_s, const std::string& owner = "red") {
+  SimJob job;
+  job.spec.queue = "any";
+  job.spec.owner = owner;
+  job.spec.members = members;
+  job.spec.need = {cores, 0, 2};
+  job.spec.bundle = "img-1";
+  job.spec.size_gb = 1;
+  job.spec.guess_s = job.run_s = run_s;
+  job.spec.flavors = std::vector<std::string>{"small"};
+  job.kept = true;
+  return job;
+}
+
+SimJob services(std::uint32_t members, double cores) {
+  auto job = batch(members, cores, 0, "blue");
+  job.spec.shape = wire::Shape::daemon;
+  job.spec.rank = wire::Rank::high;
+  return job;
+}
+
+std::string name(int node) { return "node-" + std::to_string(node); }
+
+std::uint64_t term(const World& world) {
+  return wire::count_field(world.keys().at(wire::kTermKey).data, "n");
+}
+
+// Hosts with a task of the job on them.
+std::set<std::string> hosts_of(World& world, const std::string& uid) {
+  std::set<std::string> hosts;
+  for (const auto& [host, machine] : world.machines())
+    for (const auto& [member, task] : machine.tasks)
+      if (member.job.value == uid && machine.on(member, world.now(), kLease)) hosts.insert(host);
+  return hosts;
+}
+
+int running(World& world, const std::string& uid) {
+  std::set<std::uint32_t> up;
+  for (const auto& [host, machine] : world.machines())
+    for (const auto& [member, task] : machine.tasks)
+      if (member.job.value == uid && machine.on(member, world.now(), kLease)) up.insert(member.index);
+  return static_cast<int>(up.size());
+}
+
+bool until(World& world, double limit, const std::function<bool()>& reached) {
+  while (world.now() < limit && !reached()) world.run(world.now() + 0.05);
+  return reached();
+}
+
+void cut_direct(World& world, const std::string& host, double seconds, bool hold) {
+  for (int node = 0; node < world.nodes(); ++node) world.cut(name(node), host, seconds, hold);
+}
+
+// ---- a leader cut from the state service and its siblings
+
+class CutLeader : public testing::TestWithParam<std::tuple<int, bool>> {};
+INSTANTIATE_TEST_SUITE_P(Controllers, CutLeader, testing::Combine(testing::Values(3, 5), testing::Bool()));
+
+// Its workers hop between it and the next leader, its last starts arrive while the next one starts the same
+// tasks, users cancel at the others and go on asking it. It gives no answer older than the records, no worker
+// a lease, and what it held back changes nothing.
+TEST_P(CutLeader, HasNoWordAndNothingOfItsOwnIsDoneTwice) {
+  const auto [controllers, hold] = GetParam();
+  for (const std::uint64_t seed : {1, 2, 3})
+    for (const double moment : {0.0, 0.12, 1.6, 4.0}) {
+      SCOPED_TRACE("seed " + std::to_string(seed) + ", cancelled after " + std::to_string(moment));
+      World world(seed, controllers);
+      world.run(5);
+      const auto service = world.submit(services(4, 1.5));
+      const auto doomed = world.submit(batch(6, 1, 300));
+      const auto other = world.submit(batch(4, 1, 90));
+      world.run(45);
+      const int old = world.leader();
+      ASSERT_GE(old, 0);
+      const auto own = world.submit(batch(8, 1, 15));  // just placed, or about to be
+      world.run(world.now() + 0.02 + moment / 10);
+      const double cut = world.now();
+      const auto old_term = term(world);
+      std::uint64_t reports = 0;
+      std::uint64_t granted = 0;
+      auto inner = world.to_node;
+      world.to_node = [&](int node, net::Request request, net::Reply reply) {
+        const bool late = node == old && request.path == "/v1/report" && term(world) > old_term &&
+                          world.now() < cut + 44;
+        reports += late ? 1 : 0;
+        inner(node, std::move(request), [&granted, late, reply](const net::Response& response) {
+          granted += late && response.status == 200 ? 1 : 0;
+          reply(response);
+        });
+      };
+      world.isolate(old, 45, hold);
+      for (const auto& [host, machine] : world.machines()) world.cut(name(old), host, 6, true);
+      world.at(cut + moment, [&] {
+        world.cancel(service);
+        world.cancel(doomed);
+      });
+      std::string late;
+      world.at(cut + 6, [&] { late = world.submit(batch(4, 1, 10)); });
+      // Users ask the old one what they like; what was committed before they asked is the least it may say.
+      std::uint64_t asked = 0;
+      const auto ask = [&](net::Method method, const std::string& uid, const std::string& path) {
+        const auto record = world.keys().find(wire::kJobs + uid);
+        const auto phase = record == world.keys().end() ? "" : record->second.data["phase"].get<std::string>();
+        world.to_node(old, {method, "/submissions/" + uid + path, "{}"},
+                      [&asked, phase, uid](const net::Response& response) {
+                        ++asked;
+                        if (response.status != 200) {
+                          EXPECT_NE(response.status, 404) << uid;
+                          return;
+                        }
+                        const auto told = wire::Json::parse(response.body)["phase"].get<std::string>();
+                        if (phase == "cancelled" || phase == "done") {
+                          EXPECT_EQ(told, phase) << uid;
+                        }
+                      });
+      };
+      for (double when = cut; when < cut + 50; when += 1.5) {
+        world.run(when);
+        int turn = 0;
+        for (auto& [host, machine] : world.machines())
+          if (++turn % 2 == 0 && when < cut + 30) machine.node = old;
+        for (const auto& uid : {service, doomed, other, own}) ask(net::Method::get, uid, "");
+        if (when > cut + 3) ask(net::Method::post, doomed, "/withdraw");
+        ASSERT_TRUE(world.broken().empty()) << listing(world.broken());
+        if (when > cut + 10 && when < cut + 40) {
+          EXPECT_NE(world.leader(), old);
+        }
+      }
+      EXPECT_GT(term(world), old_term);
+      EXPECT_GT(reports, 10U);
+      EXPECT_EQ(granted, 0U) << "it extended leases under another's reign";
+      world.run(cut + 130);
+      EXPECT_GT(asked, 100U);
+      EXPECT_TRUE(world.broken().empty()) << listing(world.broken());
+      EXPECT_EQ(world.leaders(), 1);
+      for (const auto& uid : {service, doomed}) EXPECT_GT(world.jobs().at(uid).told_cancelled, 0) << uid;
+      for (const auto& uid : {other, own, late}) EXPECT_TRUE(world.jobs().at(uid).told_done) << uid;
+      world.to_node = inner;
+    }
+}
+
+// ---- a leader ends while machines with long tasks are out of reach
+
+enum class Away { hung, deaf, dead };
+
+class EndedLeader : public testing::TestWithParam<std::tuple<int, Away>> {};
+INSTANTIATE_TEST_SUITE_P(Controllers, EndedLeader,
+                         testing::Combine(testing::Values(3, 5),
+                                          testing::Values(Away::hung, Away::deaf, Away::dead)));
+
+// Leaders end one after the other, the state service is out in between, the cloud returns no machine: only
+// the safe count of leases frees the tasks. Nothing starts too soon, the cancelled are gone in time, and the
+// others run again two leases after the last change, though the machines stay as they are, whether their
+// reports keep coming or not.
+TEST_P(EndedLeader, TasksOutOfReachGoOnElsewhereOnce) {
+  const auto [controllers, away] = GetParam();
+  for (const std::uint64_t seed : {1, 2})
+    for (const int changes : {1, 3})
+      for (const bool outage : {false, true}) {
+        SCOPED_TRACE("seed " + std::to_string(seed) + ", " + std::to_string(changes) + " changes, outage " +
+                     std::to_string(outage));
+        World world(seed, controllers);
+        world.run(5);
+        const auto service = world.submit(services(6, 1.5));
+        const auto doomed = world.submit(batch(4, 1, 300));
+        const auto long_one = world.submit(batch(4, 1, 70));
+        auto filler = batch(500, 1, 12, "guest");  // room that can be had without the cloud
+        filler.spec.rank = wire::Rank::best_effort;
+        world.submit(filler);
+        world.run(60);
+        ASSERT_EQ(running(world, service), 6);
+        std::set<std::string> lost = hosts_of(world, doomed);
+        lost.merge(hosts_of(world, long_one));
+        const auto serving = hosts_of(world, service);
+        lost.insert(*serving.begin());
+        const double from = world.now();
+        const double length = 3 * kLease + 14.0 * changes;
+        world.cloud_outage(length);
+        for (const auto& host : lost) {
+          auto& machine = world.machines().at(host);
+          if (away == Away::hung) machine.hung_until = from + length;
+          if (away == Away::deaf) machine.deaf_until = from + length;
+          if (away == Away::dead) machine.dead = true;
+        }
+        world.cancel(doomed);
+        std::set<std::uint64_t> terms;
+        double last = 0;
+        for (int i = 0; i < changes; ++i) {
+          world.run(world.now() + 0.4 + 3 * i);
+          ASSERT_TRUE(until(world, world.now() + 20, [&] { return world.leader() >= 0; }));
+          terms.insert(term(world));
+          world.crash(world.leader(), 2);
+          if (outage && i == 0) world.at(world.now() + 1, [&] { world.state_outage(6); });
+        }
+        ASSERT_TRUE(until(world, world.now() + 20, [&] { return world.leader() >= 0; }));
+        last = world.now();
+        terms.insert(term(world));
+        EXPECT_EQ(terms.size(), static_cast<std::size_t>(changes) + 1);
+        world.run(last + 2 * kLease + 8);
+        EXPECT_LT(world.now(), from + length);
+        EXPECT_EQ(running(world, service), 6) << "waits for machines that do not hear";
+        EXPECT_GT(world.jobs().at(doomed).told_cancelled, 0);
+        EXPECT_EQ(running(world, doomed), 0);
+        world.run(from + length + 100);
+        EXPECT_TRUE(world.broken().empty()) << listing(world.broken());
+        EXPECT_EQ(running(world, service), 6);
+        EXPECT_TRUE(world.jobs().at(long_one).told_done);
+      }
+}
+
+class FirstAnswer : public testing::TestWithParam<int> {};
+INSTANTIATE_TEST_SUITE_P(Controllers, FirstAnswer, testing::Values(3, 5));
+
+// A machine hears of each leader one answer, the first, and each ends before the next: its lease goes on, so
+// the stop of what was cancelled must be in the first.
+TEST_P(FirstAnswer, OfEachLeaderInTurnBringsTheStop) {
+  for (const std::uint64_t seed : {1, 2, 3, 4}) {
+    SCOPED_TRACE("seed " + std::to_string(seed));
+    World world(seed, GetParam());
+    world.most_machines = 1;
+    world.run(5);
+    const auto uid = world.submit(batch(1, 3, 500));
+    ASSERT_TRUE(until(world, 80, [&] { return running(world, uid) == 1; }));
+    world.run(world.now() + 8);
+    const auto host = *hosts_of(world, uid).begin();
+    const auto& machine = world.machines().at(host);
+    cut_direct(world, host, 200, false);
+    world.crash(world.leader(), 1);
+    world.cancel(uid);
+    const double began = world.now();
+    int leaders = 0;
+    auto fence = machine.fence;
+    while (world.now() < began + kCancel + 12) {
+      world.run(world.now() + 0.01);
+      ASSERT_TRUE(world.machines().contains(host));
+      if (machine.fence == fence) continue;
+      fence = machine.fence;
+      if (world.leader() >= 0) world.crash(world.leader(), 1), ++leaders;
+    }
+    EXPECT_GE(leaders, 4);
+    EXPECT_GT(world.jobs().at(uid).told_cancelled, 0);
+    EXPECT_EQ(running(world, uid), 0);
+    EXPECT_TRUE(world.broken().empty()) << listing(world.broken());
+  }
+}
+
+// A leader that learns nothing more answers a machine for as long as it may; that one is out of reach until
+// its lease is nearly over, hears one answer of the next leader and nothing after it.
+TEST_P(FirstAnswer, AfterAnOldLeadersLastDoesNotOutliveTheCancellation) {
+  for (const std::uint64_t seed : {1, 2, 3})
+    for (const double short_of : {0.6, 2.0}) {
+      SCOPED_TRACE("seed " + std::to_string(seed));
+      World world(seed, GetParam());
+      world.most_machines = 1;
+      world.run(5);
+      const auto uid = world.submit(batch(1, 3, 500));
+      ASSERT_TRUE(until(world, 80, [&] { return running(world, uid) == 1; }));
+      world.run(world.now() + 8);
+      const auto host = *hosts_of(world, uid).begin();
+      auto& machine = world.machines().at(host);
+      world.deaf_node = world.leader();
+      const int old = world.deaf_node;
+      world.run(world.now() + 10.5);  // its open watch has ended
+      machine.node = old;
+      cut_direct(world, host, 200, false);
+      world.cancel(uid);
+      const double cancelled = world.now();
+      // Until the next one reigns it is the old one that answers.
+      double lease = 0;
+      while (world.now() < cancelled + 15 && (world.leader() == old || world.leader() < 0)) {
+        world.run(world.now() + 0.05);
+        if (world.leader() == old) machine.node = old;
+        lease = machine.lease_from;
+      }
+      machine.deaf_until = lease + kLease - short_of - 0.25;
+      world.run(machine.deaf_until);
+      const auto fence = machine.fence;
+      machine.node = world.leader();
+      machine.in_flight = false;
+      machine.report_wanted = true;
+      until(world, lease + kLease, [&] { return machine.fence > fence; });
+      EXPECT_GT(machine.fence, fence) << "it heard no answer of the next leader";
+      machine.deaf_until = 1e9;
+      world.run(cancelled + 2 * kLease + 15);
+      EXPECT_GT(world.jobs().at(uid).told_cancelled, 0);
+      EXPECT_TRUE(world.broken().empty()) << listing(world.broken());
+      world.deaf_node = -1;
+    }
+}
+
+// All reports of a machine are overtaken by direct answers, and the stop sent directly is lost: the answers to
+// the reports extend its lease, so they bring the stop.
+TEST_P(FirstAnswer, ToAReportThatIsNoNewsBringsTheStopToo) {
+  for (const std::uint64_t seed : {1, 2, 3}) {
+    World world(seed, GetParam());
+    world.run(5);
+    const auto uid = world.submit(services(3, 2));
+    world.run(60);
+    ASSERT_EQ(running(world, uid), 3);
+    world.report_delay = 3.3;
+    world.run(75);
+    for (const auto& host : hosts_of(world, uid)) cut_direct(world, host, 1, false);
+    world.cancel(uid);
+    world.run(75 + kCancel + 5);
+    EXPECT_GT(world.jobs().at(uid).told_cancelled, 0);
+    EXPECT_TRUE(world.broken().empty()) << listing(world.broken());
+  }
+}
+
+// The record of a machine with tasks cannot be read, and the machine hears nothing but answers to its reports:
+// no lease goes on that the new leader does not count.
+TEST_P(FirstAnswer, ExtendsNoLeaseOfAMachineThatIsNotKnown) {
+  World world(82, GetParam());
+  world.run(5);
+  const auto uid = world.submit(services(3, 1));
+  ASSERT_TRUE(until(world, 80, [&] { return running(world, uid) == 3; }));
+  world.submit(batch(8, 1, 300));
+  world.run(world.now() + 30);
+  const auto host = *hosts_of(world, uid).begin();
+  for (const auto& [key, entry] : std::map(world.keys()))
+    if (key.starts_with(wire::kMachines) && entry.data.dump().find(host) != std::string::npos)
+      world.tamper(key, 7);
+  cut_direct(world, host, 60, false);
+  world.cloud_outage(60);
+  for (int node = 0; node < world.nodes(); ++node) world.crash(node, 1);
+  world.run(world.now() + 70);
+  EXPECT_EQ(world.leaders(), 1);
+  EXPECT_TRUE(world.broken().empty()) << listing(world.broken());
+}
+
+// The transaction that takes the leadership is lost, its lease is renewed on: it is given up, and the
+// controller tries again by itself.
+TEST(Election, ATakeThatNeverArrivedIsGivenUp) {
+  double won = 0;
+  for (double before = 0; before < 0.03; before += 0.0007) {
+    World world(3, 1);
+    if (won == 0) {
+      while (world.leader() < 0 && world.now() < 10) world.run(world.now() + 0.0005);
+      won = world.now();
+      continue;
+    }
+    world.run(won - before);
+    world.cut(name(0), "state", 0.02, false);
+    world.run(30);
+    EXPECT_EQ(world.leaders(), 1) << "cut " << before << " s before it won";
+  }
+}
+
+}  // namespace
+}  // namespace bankhill::sim
