--- a/src/leader/leader.hpp
+++ b/src/leader/leader.hpp
@@ -258,7 +258,6 @@
   model::Hearing::Times hearing_times() const;
   void heard(model::Machine& machine, const wire::Report& report, bool direct);
   wire::Ruling granted(std::vector<wire::Order> orders) const;
-  std::vector<wire::Order> stops_for(const wire::Report& report) const;
   void apply_member(model::Machine& machine, const wire::MemberReport& member);
   void exited(model::Machine& machine, const wire::MemberReport& member);
   void finish(model::Job& job, std::uint32_t index, std::function<void()> then);
