--- /dev/null
+++ b/tests/sim/meetings.cpp
@@ -0,0 +1,255 @@
+#include "sim/meetings.hpp"
+
+#include <algorithm>
+#include <array>
+#include <cstdio>
+
+namespace bankhill::sim {
+namespace {
+
+constexpr double kFirst = 30;      // seconds until the first meeting
+constexpr double kPatience = 20;   // a meeting waits so long for its moment, then goes without
+constexpr double kOverBase = 180;  // after the last trouble all is over within this and some leases
+constexpr double kOverLeases = 5;
+constexpr std::array<const char*, 5> kMoments = {"a cancellation", "a win", "a commit", "an order",
+                                                 "an exit"};
+
+// The default, and the operators' ratios.
+Timing timing_of(std::uint64_t seed) {
+  constexpr std::array<Timing, 4> kTimings = {Timing{}, Timing{}, Timing{10, 44, 69}, Timing{10, 42, 67}};
+  std::mt19937_64 random(seed);
+  return kTimings[random() % kTimings.size()];
+}
+
+std::string text(double value) {
+  char buffer[32];
+  std::snprintf(buffer, sizeof buffer, "%.3g", value);
+  return buffer;
+}
+
+std::string node_name(int node) { return "node-" + std::to_string(node); }
+
+}  // namespace
+
+MeetingDay::MeetingDay(std::uint64_t seed, int controllers)
+    : timing_(timing_of(seed)),
+      world_(seed,
+             controllers > 0 ? controllers
+             : seed % 2 == 0 ? 5
+                             : 3,
+             timing_) {
+  name_ = "seed " + std::to_string(seed) + ", " + std::to_string(world_.nodes()) + " controllers, " +
+          text(timing_.report_s) + "/" + text(timing_.lease_s) + "/" + text(timing_.cancel_s);
+}
+
+void MeetingDay::tell(const std::string& what) { story_.push_back(text(world_.now()) + " " + what); }
+
+std::vector<std::string> MeetingDay::play() {
+  for (int node = 0; node < world_.nodes(); ++node) world_.crash(node, 0);
+  world_.run(5);
+  load();
+  world_.run(kFirst);
+  for (int meetings = 6 + world_.pick(5); meetings > 0; --meetings) {
+    meet();
+    world_.run(world_.now() + timing_.cancel_s * world_.uniform(0.2, 1.5));
+    if (!world_.broken().empty()) return world_.broken();
+  }
+  over_ = true;
+  for (const auto& uid : long_jobs_) world_.cancel(uid);
+  world_.heal();
+  tell("all is well");
+  world_.run(world_.now() + kOverBase + kOverLeases * timing_.lease_s);
+  auto broken = world_.broken();
+  for (auto& line : left_over()) broken.push_back(std::move(line));
+  return broken;
+}
+
+// ---- users
+
+void MeetingDay::load() {
+  world_.at(world_.now() + world_.uniform(1, 9), [this] {
+    if (over_) return;
+    submit();
+    load();
+  });
+}
+
+void MeetingDay::submit() {
+  const double kind = world_.uniform(0, 1);
+  if (kind < 0.2) return world_.submit_pipeline();
+  auto job = world_.random_job();
+  const bool lasts = kind < 0.4;
+  if (lasts || kind < 0.7) {
+    job.spec.shape = wire::Shape::sweep;
+    job.spec.members = static_cast<std::uint32_t>(2 + world_.pick(2));
+    job.spec.due_s.reset();
+    job.kept = lasts;  // until a meeting
+    job.run_s = lasts ? timing_.cancel_s * world_.uniform(0.5, 4) : world_.uniform(1, 8);
+    if (!lasts) job.longer = world_.uniform(1, 3);
+    job.spec.guess_s = job.run_s;
+  }
+  const auto uid = world_.submit(job);
+  if (lasts)
+    long_jobs_.push_back(uid);
+  else if (world_.chance(0.3))
+    world_.at(world_.now() + world_.uniform(0.5, timing_.cancel_s), [this, uid] { world_.cancel(uid); });
+}
+
+void MeetingDay::cancel_some(int count, double within_s) {
+  for (; count > 0 && !long_jobs_.empty(); --count) {
+    const auto chosen = long_jobs_.begin() + world_.pick(static_cast<int>(long_jobs_.size()));
+    world_.at(world_.now() + world_.uniform(0, within_s), [this, uid = *chosen] { world_.cancel(uid); });
+    long_jobs_.erase(chosen);
+  }
+}
+
+// ---- troubles
+
+void MeetingDay::meet() {
+  const auto wanted = static_cast<Moment>(world_.pick(kMoments.size()));
+  bool waits = true;
+  int before = world_.pick(wanted == Moment::cancelled || wanted == Moment::won ? 2 : 6);
+  const auto begin = [this, &waits](int node) {
+    waits = false;
+    for (int troubles = 2 + world_.pick(2); troubles > 0; --troubles)
+      world_.at(world_.now() + offset(), [this, node] { trouble(node); });
+  };
+  world_.on_moment = [&](Moment moment, int node) {
+    if (!waits || moment != wanted || before-- > 0) return;
+    tell(std::string("after ") + kMoments[static_cast<std::size_t>(wanted)] + " by " + node_name(node) + ":");
+    begin(node);
+  };
+  cancel_some(1 + world_.pick(3), 2);
+  cancel_some(world_.pick(4), timing_.lease_s);
+  if (wanted == Moment::won) end_reign();
+  for (const double until = world_.now() + kPatience; waits && world_.now() < until;)
+    world_.run(world_.now() + 0.25);
+  world_.on_moment = nullptr;
+  if (!waits) return;
+  tell("without waiting longer:");
+  begin(world_.pick(world_.nodes()));
+}
+
+void MeetingDay::end_reign() {
+  const int leader = std::max(0, world_.leader());
+  tell(node_name(leader) + " is to lead no more");
+  switch (world_.pick(3)) {
+    case 0:
+      return world_.crash(leader, length());
+    case 1:
+      return world_.refuse(leader, length());
+    default:
+      return world_.freeze(leader, length());
+  }
+}
+
+double MeetingDay::offset() {
+  const double kind = world_.uniform(0, 1);
+  if (kind < 0.3) return 0;
+  if (kind < 0.6) return world_.uniform(0, 0.5);
+  if (kind < 0.85) return world_.uniform(0, 6);
+  return (world_.chance(0.5) ? timing_.lease_s : timing_.cancel_s) * world_.uniform(0.2, 1.1);
+}
+
+double MeetingDay::length() {
+  if (world_.chance(0.35)) return world_.uniform(0.2, 4);
+  return timing_.lease_s * (world_.chance(0.7) ? world_.uniform(0.2, 1) : world_.uniform(1, 2));
+}
+
+// The controller that leads, the one at which it happened, or any.
+int MeetingDay::target(int node) {
+  const double kind = world_.uniform(0, 1);
+  if (kind < 0.5 && world_.leader() >= 0) return world_.leader();
+  return kind < 0.8 ? node : world_.pick(world_.nodes());
+}
+
+void MeetingDay::trouble(int node) {
+  if (over_) return;
+  const int chosen = target(node);
+  const auto name = node_name(chosen);
+  const double seconds = length();
+  const bool held = world_.chance(0.5);  // what is cut
+  const auto zone = world_.chance(0.5) ? "za" : "zb";
+  const auto say = [&](const std::string& what, bool of_one = true) {
+    tell(what + (of_one ? " " + name : "") + " for " + text(seconds) + " s");
+  };
+  const std::string how = held ? ", packets held," : "";
+  switch (world_.pick(15)) {
+    case 0:
+    case 1:
+      say("the state service refuses");
+      return world_.refuse(chosen, seconds);
+    case 2:
+    case 3: {
+      const double outage =
+          timing_.cancel_s * (world_.chance(0.5) ? world_.uniform(0.2, 1) : world_.uniform(1, 3));
+      tell("the state service is down for " + text(outage) + " s");
+      return world_.state_outage(outage);
+    }
+    case 4:
+    case 5:
+      say("no state service and siblings" + how + " at");
+      return world_.isolate(chosen, seconds, held);
+    case 6:
+      say("crash of");
+      return world_.crash(chosen, std::min(seconds, 6.0));
+    case 7:
+      if (world_.chance(0.5)) {
+        tell("back at once: " + name);
+        return world_.back_at_once(chosen);
+      }
+      tell("crash of all");
+      for (int i = 0; i < world_.nodes(); ++i) world_.crash(i, world_.uniform(0.05, 4));
+      return;
+    case 8:
+      say("pause of");
+      return world_.freeze(chosen, seconds);
+    case 9:
+      say("not heard by workers:");
+      return world_.mute(chosen, seconds);
+    case 10:
+      say("deaf machines", false);
+      return world_.deafen_machines(world_.uniform(0.3, 1), seconds, world_.chance(0.5) ? "" : zone);
+    case 11:
+      say("hanging machines", false);
+      return world_.hang_machines(world_.uniform(0.2, 0.8), seconds);
+    case 12:
+      if (world_.chance(0.5)) {
+        say("no workers of " + std::string(zone) + how + " at");
+        return world_.cut(name, std::string("workers-") + zone, seconds, held);
+      }
+      say("no direct orders" + how + " from");
+      for (const auto& [host, machine] : world_.machines())
+        if (world_.chance(0.5)) world_.cut(name, host, seconds, held);
+      return;
+    case 13: {
+      const auto other = node_name(world_.pick(world_.nodes()));
+      say("no way to " + other + how + " from");
+      if (other != name) world_.cut(name, other, seconds, held);
+      return;
+    }
+    default:
+      say("copies of reports", false);
+      return world_.copies_come(world_.uniform(0.02, 0.5), seconds);
+  }
+}
+
+// ---- the end
+
+std::vector<std::string> MeetingDay::left_over() {
+  std::vector<std::string> left;
+  if (world_.leaders() != 1) left.push_back("leaders: " + std::to_string(world_.leaders()));
+  if (world_.starts() <= 20) left.push_back("starts: " + std::to_string(world_.starts()));
+  for (const auto& [uid, job] : world_.jobs()) {
+    if (!job.accepted) left.push_back("never accepted: " + uid);
+    if (job.told_cancelled > 0) continue;
+    if (world_.doomed(job, world_.now())) left.push_back("goes on without what it needs: " + uid);
+    if (job.cancel_asked && !job.told_done) left.push_back("neither cancelled nor done: " + uid);
+    if (job.spec.shape == wire::Shape::sweep && !job.cancel_asked && !job.broken && !job.told_done)
+      left.push_back("not done: " + uid + ", " + std::to_string(job.completed.size()) + " of " +
+                     std::to_string(job.spec.members));
+  }
+  return left;
+}
+
+}  // namespace bankhill::sim
--- a/tests/sim/world.cpp
+++ b/tests/sim/world.cpp
@@ -420,6 +420,8 @@
     if (old) response.body = as_read_before_policies(response.body);
     carry(peer, me, latency, [reply, response = std::move(response)] { reply(response); });
   };
+  if (state && request.path == "/commit") tell(Moment::committed, node);
+  if (!state && !cloud && request.path == "/commands") tell(Moment::ordered, node);
   std::vector<std::uint64_t> starts;
   const auto* cut = link(me, peer);
   if (!state && !cloud && request.path == "/commands" && (cut == nullptr || cut->hold)) {
@@ -531,6 +533,7 @@
   if (!failed.empty()) return {409, Json{{"failed", failed}, {"epoch", epoch_}}.dump(), std::nullopt};
   check_commit(body);
   if (!body["writes"].empty()) {
+    const bool vacant = !keys_.contains(wire::kLeaderKey);
     ++epoch_;
     for (const auto& write : body["writes"]) {
       if (write.contains("write")) {
@@ -544,6 +547,9 @@
       }
     }
     state_changed();
+    for (const auto& write : body["writes"])
+      if (vacant && write.value("write", "") == wire::kLeaderKey && write["data"].is_object())
+        tell(Moment::won, wire::parse_leader_record(write["data"]).node.back() - '0');
   }
   return {200, Json{{"epoch", epoch_}}.dump(), std::nullopt};
 }
@@ -764,6 +770,9 @@
   const auto zone = "workers-" + machine.zone;
   Request request{Method::post, "/v1/report", to_json(report_of(machine)).dump()};
   keep_copy(request.body);
+  if (std::any_of(machine.tasks.begin(), machine.tasks.end(),
+                  [](const auto& task) { return task.second.phase == MemberPhase::exited; }))
+    tell(Moment::exited, node);
   auto next_node = [this, host = machine.host, exchange] {
     const auto found = machines_.find(host);
     if (found == machines_.end() || found->second.exchange != exchange) return;
@@ -805,6 +814,8 @@
   carry(zone, node_name(node), 0.002 + report_delay,
         [this, node, zone, host = machine.host, request, receive] {
           to_node(node, request, [this, zone, node, host, receive](const Response& response) {
+            if (response.status == 200 && response.body.find("\"verb\"") != std::string::npos)
+              tell(Moment::ordered, node);
             carry(node_name(node), zone, 0.002, [this, node, host, receive, response] {
               if (!unheard(node, host, response.body)) receive(response);
             });
@@ -911,7 +922,7 @@
   if (job.spec.shape == wire::Shape::daemon && !fails) return;
   const double run = job.completed.contains(member.index) ? 0.01
                      : machine.sick || job.broken         ? 0.5
-                                                          : job.run_s;
+                                                          : job.run_s * std::pow(job.longer, member.index);
   at(now_ + run, [this, host, member, try_no] { task_ended(host, member, try_no); });
 }
 
@@ -947,7 +958,10 @@
   const int node = pick(node_count_);
   at(now_ + 0.002, [this, node, request = std::move(request), answer] {
     to_node(node, request, [this, node, answer](const Response& response) {
-      at(now_ + 0.002 + out_delay(node_name(node)), [answer, response] { answer(response); });
+      at(now_ + 0.002 + out_delay(node_name(node)), [this, node, answer, response] {
+        answering_ = node;
+        answer(response);
+      });
     });
   });
 }
@@ -1106,7 +1120,10 @@
     violate("went_back", uid + " was cancelled, now " + phase);
   if (phase == "cancelled") {
     if (!cancel_asked(job)) violate("went_back", uid + " cancelled by nobody");
-    if (job.told_cancelled == 0) job.told_cancelled = now_;
+    if (job.told_cancelled == 0) {
+      job.told_cancelled = now_;
+      tell(Moment::cancelled, answering_);
+    }
   }
   if ((phase == "queued" || phase == "running") && doomed(job, asked, settings_.cancel_s))
     violate("orphaned", uid + " is " + phase);
--- a/tests/sim/world.hpp
+++ b/tests/sim/world.hpp
@@ -84,6 +84,7 @@
 struct SimJob {
   wire::JobSpec spec;
   double run_s = 0;
+  double longer = 1;  // each further task takes so many times the one before
   bool submitted = false;
   bool accepted = false;
   bool cancel_asked = false;
@@ -115,6 +116,15 @@
   double cancel_s = 40;
 };
 
+// What troubles may be timed by.
+enum class Moment {
+  cancelled,  // a user was told so, by this controller
+  won,        // this one's reign began
+  committed,  // this one sent a transaction
+  ordered,    // this one sent a machine orders, directly or as an answer
+  exited      // a machine told this one that a task has ended
+};
+
 class World {
  public:
   // `controllers`: as many, up to ten; 0 when real processes take their place (see the smoke test). By
@@ -126,6 +136,7 @@
   // Ways to controllers and machines outside the simulation.
   std::function<void(int node, net::Request, net::Reply)> to_node;
   std::function<std::string(const std::string& host)> address_of;
+  std::function<void(Moment, int node)> on_moment;  // called in the middle of the step
   void serve_state(const net::Request& request, net::Reply reply);
   void serve_cloud(const net::Request& request, const net::Reply& reply) { reply(cloud_call(request)); }
   net::Response serve_machine(const std::string& host, const net::Request& request);
@@ -279,6 +290,9 @@
   // Runs work of a controller; later if it stands still.
   void on_node(int node, std::function<void()> work);
   double out_delay(const std::string& from) const;
+  void tell(Moment moment, int node) const {
+    if (on_moment) on_moment(moment, node);
+  }
   // Carries a message; it arrives late or never when the link is cut.
   void carry(const std::string& from, const std::string& to, double latency, std::function<void()> deliver);
   const Link* link(const std::string& a, const std::string& b) const;
@@ -382,6 +396,7 @@
   std::map<std::string, double> gone_machines_;      // and since when
   std::deque<std::pair<double, std::string>> kept_;  // reports and direct answers, when they were sent
   std::uint64_t copies_delivered_ = 0;
+  int answering_ = -1;  // the controller whose answer a user reads
   std::map<std::string, SimJob> jobs_;
   struct DirectStart {  // on its way to a machine
     std::string host;
