--- a/tests/sim/meetings.cpp
+++ b/tests/sim/meetings.cpp
@@ -2,6 +2,7 @@
 
 #include <algorithm>
 #include <array>
+#include <cmath>
 #include <cstdio>
 
 namespace bankhill::sim {
@@ -174,7 +175,7 @@
     tell(what + (of_one ? " " + name : "") + " for " + text(seconds) + " s");
   };
   const std::string how = held ? ", packets held," : "";
-  switch (world_.pick(15)) {
+  switch (world_.pick(18)) {
     case 0:
     case 1:
       say("the state service refuses");
@@ -228,6 +229,18 @@
       if (other != name) world_.cut(name, other, seconds, held);
       return;
     }
+    case 14:
+    case 15: {
+      const double share = world_.chance(0.3) ? 1 : world_.uniform(0.1, 0.8);
+      say("late are " + text(share) + " of the transactions", false);
+      return world_.late_writes(share, seconds);
+    }
+    case 16: {
+      // From shorter than any time-out to longer than all.
+      const double most = 0.3 * std::exp2(world_.uniform(0, 6));
+      say("up to " + text(most) + " s for answers of the state service", false);
+      return world_.slow_state(world_.chance(0.5) ? 0 : most / 2, most, seconds);
+    }
     default:
       say("copies of reports", false);
       return world_.copies_come(world_.uniform(0.02, 0.5), seconds);
