--- a/tests/sim/world.cpp
+++ b/tests/sim/world.cpp
@@ -426,6 +426,8 @@
     carry(
         peer, me, after, [reply, response] { reply(response); }, response.body);
   };
+  if (state && request.path == "/commit") tell(Moment::committed, node);
+  if (!state && !cloud && request.path == "/commands") tell(Moment::ordered, node);
   std::vector<std::uint64_t> starts;
   const auto* cut = link(me, peer);
   if (!state && !cloud && request.path == "/commands" && (cut == nullptr || cut->hold)) {
@@ -542,6 +544,7 @@
       return {400, R"({"error":"too large"})", std::nullopt};
   check_commit(body);
   if (!body["writes"].empty()) {
+    const bool vacant = !keys_.contains(wire::kLeaderKey);
     ++epoch_;
     for (const auto& write : body["writes"]) {
       if (write.contains("write")) {
@@ -555,6 +558,9 @@
       }
     }
     state_changed();
+    for (const auto& write : body["writes"])
+      if (vacant && write.value("write", "") == wire::kLeaderKey && write["data"].is_object())
+        tell(Moment::won, wire::parse_leader_record(write["data"]).node.back() - '0');
   }
   return {200, Json{{"epoch", epoch_}}.dump(), std::nullopt};
 }
@@ -790,6 +796,9 @@
   const auto zone = "workers-" + machine.zone;
   Request request{Method::post, "/v1/report", to_json(report_of(machine)).dump()};
   keep_copy(request.body);
+  if (std::any_of(machine.tasks.begin(), machine.tasks.end(),
+                  [](const auto& task) { return task.second.phase == MemberPhase::exited; }))
+    tell(Moment::exited, node);
   auto next_node = [this, host = machine.host, exchange] {
     const auto found = machines_.find(host);
     if (found == machines_.end() || found->second.exchange != exchange) return;
@@ -830,6 +839,8 @@
   };
   const auto arrives = [this, node, zone, host = machine.host, request, receive] {
     to_node(node, request, [this, zone, node, host, receive](const Response& response) {
+      if (response.status == 200 && response.body.find("\"verb\"") != std::string::npos)
+        tell(Moment::ordered, node);
       const auto back = [this, node, host, receive, response] {
         if (!unheard(node, host, response.body)) receive(response);
       };
@@ -938,7 +949,7 @@
   if (job.spec.shape == wire::Shape::daemon && !fails) return;
   const double run = job.completed.contains(member.index) ? 0.01
                      : machine.sick || job.broken         ? 0.5
-                                                          : job.run_s;
+                                                          : job.run_s * std::pow(job.longer, member.index);
   at(now_ + run, [this, host, member, try_no] { task_ended(host, member, try_no); });
 }
 
@@ -974,7 +985,10 @@
   const int node = pick(node_count_);
   at(now_ + 0.002, [this, node, request = std::move(request), answer] {
     to_node(node, request, [this, node, answer](const Response& response) {
-      at(now_ + 0.002 + out_delay(node_name(node)), [answer, response] { answer(response); });
+      at(now_ + 0.002 + out_delay(node_name(node)), [this, node, answer, response] {
+        answering_ = node;
+        answer(response);
+      });
     });
   });
 }
@@ -1133,7 +1147,10 @@
     violate("went_back", uid + " was cancelled, now " + phase);
   if (phase == "cancelled") {
     if (!cancel_asked(job)) violate("went_back", uid + " cancelled by nobody");
-    if (job.told_cancelled == 0) job.told_cancelled = now_;
+    if (job.told_cancelled == 0) {
+      job.told_cancelled = now_;
+      tell(Moment::cancelled, answering_);
+    }
   }
   if ((phase == "queued" || phase == "running") && doomed(job, asked, settings_.cancel_s))
     violate("orphaned", uid + " is " + phase);
