--- a/src/leader/leader.hpp
+++ b/src/leader/leader.hpp
@@ -51,7 +51,7 @@
   double report_s = 3;  // workers report this often
   double pace_s = 3;    // what is asked again, waited for or given up goes by this (app/settings.hpp)
   double lease_s = 40;
-  double read_age_s = 6;  // that the last read barrier may have (model/cancel_budget.hpp)
+  double read_age_s = 6;    // that the last read barrier may have (model/cancel_budget.hpp)
   double gang_wait_s = 45;  // a replica that spans machines is whole in this time, or stopped
   double gang_peer_s = 5;   // after one member is known to be gone, in which its peers are stopped
   // Machines that make one replica, by team and class; empty: one each.
