--- a/src/election/elector.hpp
+++ b/src/election/elector.hpp
@@ -19,9 +19,8 @@
   double drift = 0.001;  // steady clocks may differ by half of this, each way
 };
 
-// The time-to-live is a small part of what a cancellation leaves beyond a worker's lease, so that
-// ttl + lease_s stays well within cancel_s.
-Timing timing_from(double lease_s, double cancel_s);
+// Of a lease with this time-to-live (model/cancel_budget.hpp).
+Timing timing_from(double ttl_s);
 
 // Until when this controller may act as the holder of `hold`, on its own steady clock.
 struct Validity {
@@ -50,7 +49,7 @@
  private:
   void consider();
   void campaign();
-  void take(std::uint64_t hold);
+  void take(std::uint64_t hold, bool again = false);
   void renew();
   void lost();
   bool leading() const;
@@ -68,8 +67,10 @@
   state::View view_;
   std::uint64_t hold_ = 0;  // 0: no lease
   double vacant_since_ = -1;
+  double taken_at_ = 0;  // when the transaction that is to win was sent
   double abstain_until_ = -1;
   bool campaigning_ = false;
+  bool untaken_ = false;  // whether the transaction that is to win was not seen to be applied
   bool raising_ = false;
   runtime::Timer retry_;
   runtime::Timer renew_timer_;
--- a/src/leader/leader.cpp
+++ b/src/leader/leader.cpp
@@ -1,6 +1,7 @@
 #include "leader/leader.hpp"
 
 #include <algorithm>
+#include <memory>
 #include <utility>
 
 namespace bankhill::leader {
@@ -79,10 +80,8 @@
   if (const auto* type = flavor(machine.flavor)) machine.size = type->size;
 }
 
-// A leader that cannot learn of cancellations must not keep workers' leases alive.
-bool Leader::deaf() const {
-  return loop().now() - synced_at_ >= (settings_.cancel_s - settings_.lease_s) / 3;
-}
+// A leader that cannot learn of cancellations must not keep workers' leases alive (invariant 34).
+bool Leader::deaf() const { return loop().now() - synced_at_ >= settings_.read_age_s; }
 
 // Invariant 2.
 bool Leader::valid() const { return reigning_ && loop().now() < valid_until_ && !deaf(); }
@@ -91,6 +90,7 @@
   // Jobs last: what they wait for may stand under further keys of the same transaction.
   for (const auto& change : *message.changes) {
     if (has_prefix(change.key, wire::kJobs) || !view_.apply(change)) continue;
+    if (reigning_ && change.data) drop_stray(change.key);
     if (auto flavors = ports_.store.parsed(change.key, change.stamp,
                                            [&] { return catalogue_.learn(change.key, change.data); });
         flavors && *flavors)
@@ -100,6 +100,10 @@
     if (has_prefix(change.key, wire::kJobs)) learn_job(change);
   take_waits_news();
   drop_final();
+  follow_leadership();
+}
+
+void Leader::follow_leadership() {
   const auto* leader = view_.find(wire::kLeaderKey);
   const auto* term = view_.find(wire::kTermKey);
   std::optional<wire::LeaderRecord> record;
@@ -112,6 +116,9 @@
   }
   if (record && now_term && record->incarnation == settings_.incarnation && record->hold == hold_) {
     if (!reigning_) {
+      // Invariant 34: the news of the win may have been on its way for long. What was committed since is read
+      // before anything is done.
+      if (deaf()) return loop().now() >= next_sync_ ? resync() : void();
       term_ = first_term_ = *now_term;
       won_ = term->stamp;
       begin_reign();
@@ -140,7 +147,6 @@
   reigning_ = true;
   const double now = loop().now();
   reign_since_ = now;
-  synced_at_ = now - kSyncS;  // the win itself was read just now
   next_round_ = next_list_ = next_catalogue_ = next_sync_ = next_progress_ = next_settle_ = next_summary_ =
       now;
   tries_ = rentals_made_ = 0;
@@ -208,7 +214,7 @@
       if (!parsed) {
         // Invariant 29: which machines it named, and what an earlier leader started there, is not known. All
         // that was not heard by then has lost its lease.
-        blind_until_ = now + settings_.lease_s * kDriftAllowance + kAllowanceS;
+        blind_until_ = now + settings_.lease_s * model::kDriftAllowance + model::kAllowanceS;
         continue;
       }
       const auto& record = *parsed;
@@ -274,8 +280,7 @@
   for (const auto& [id, hex] : record) wire::parse_finished_hex(hex, id.chunk);
   const bool single = data.is_string();  // of version 0.1
   const auto own_number = single ? 0 : std::stoull(name);
-  std::uint64_t moved_to = 0;
-  bool twice = false;
+  std::set<std::uint64_t> homes;  // of what is not to stay here
   for (const auto& [id, hex] : record) {
     const auto found = live_.find(id.job);
     if (found == live_.end()) continue;
@@ -283,13 +288,15 @@
     for (const auto index : wire::parse_finished_hex(hex, id.chunk))
       if (index < job.spec.members && job.marks[index] != model::kDone) job.set_mark(index, model::kDone);
     note(job);
+    // The bucket may have been written before the job's own record: no exit is left that would end it.
+    if (job.finished == job.spec.members) write_done(job, {});
     if (single) {
-      moved_to = bucket_for(job, id.chunk);
+      homes.insert(bucket_for(job, id.chunk));
       continue;
     }
     // A chunk has one home: of two, while some were being moved (move_excess), the first.
-    if (job.buckets.contains(id.chunk)) {
-      twice = true;
+    if (const auto home = job.buckets.find(id.chunk); home != job.buckets.end()) {
+      homes.insert(home->second);
       continue;
     }
     const auto number = own_number;
@@ -298,10 +305,17 @@
     bucket.bytes += wire::chunk_bytes(job.spec.members, id.chunk);
     job.buckets[id.chunk] = number;
   }
-  if (moved_to != 0)
-    store_bucket(moved_to, Patience::exits, [this, key] { store(key, std::nullopt, Patience::tidying); });
-  else if (twice || single || !buckets_.contains(own_number))
-    store(key, std::nullopt, Patience::tidying);  // its jobs are over, or some of it stands elsewhere
+  if (homes.empty()) {
+    if (single || !buckets_.contains(own_number))
+      store(key, std::nullopt, Patience::tidying);  // its jobs are over
+    return true;
+  }
+  // Written there first: what stood here may be the newer part.
+  const auto left = std::make_shared<std::size_t>(homes.size());
+  for (const auto home : homes)
+    store_bucket(home, Patience::exits, [this, key, left] {
+      if (--*left == 0) store(key, std::nullopt, Patience::tidying);
+    });
   return true;
 }
 
@@ -435,10 +449,17 @@
   note(job);
 }
 
+// The age of what is known counts from when the barrier was sent, and from the turn on in which the changes
+// that it brought have been taken in.
 void Leader::resync() {
   const double sent = loop().now();
+  next_sync_ = sent + kSyncS;
   ports_.store.tell(state::Sync{guard([this, sent](bool fine) {
-                                  if (fine) synced_at_ = std::max(synced_at_, sent);
+                                  if (!fine) return;
+                                  loop().post(guard([this, sent] {
+                                    synced_at_ = std::max(synced_at_, sent);
+                                    if (!reigning_) follow_leadership();
+                                  }));
                                 }),
                                 true});
 }
@@ -447,15 +468,12 @@
   tick_timer_ = loop().after(kTickS, guard([this] { tick(); }));
   const double now = loop().now();
   const double passed = now - std::exchange(last_tick_, now);
-  if (!reigning_) return;
-  if (now >= next_sync_) {
-    next_sync_ = now + kSyncS;
-    resync();
-  }
+  if (!reigning_ && hold_ != 0) follow_leadership();
+  if (reigning_ && now >= next_sync_) resync();
   // Nor must it keep the leadership, when its renewals alone are answered.
   // After an outage of the state service both come back, the lease often first: its holder still knows every
   // machine, where another would have to ask all of them, so it is given the time to listen.
-  if (deaf() && now < valid_until_ && now - renewed_since_ > kListenS) return ports_.resign();
+  if (hold_ != 0 && deaf() && now < valid_until_ && now - renewed_since_ > kListenS) return ports_.resign();
   if (!valid()) return;
   age_reclaims(passed);
   if (now >= next_catalogue_) fetch_catalogue();
--- a/tests/sim/world.cpp
+++ b/tests/sim/world.cpp
@@ -398,8 +398,9 @@
 }
 
 void World::carry(const std::string& from, const std::string& to, double latency,
-                  std::function<void()> deliver) {
+                  std::function<void()> deliver, const std::string& body) {
   latency += out_delay(from);
+  if (held_up) latency += held_up(from, to, body);
   const auto* cut = link(from, to);
   if (cut == nullptr) return at(now_ + latency, std::move(deliver));
   // Held packets come when the cut is over, even if the sender has given up.
@@ -416,10 +417,17 @@
                                  : 0.001;
   const auto& asking = nodes_[static_cast<std::size_t>(node)];
   const bool old = state && asking && asking->before_policies;
-  auto back = [this, me, peer, latency, old, reply = std::move(reply)](Response response) {
+  double before = latency;
+  double after = latency;
+  for (int half = 0; state && now_ < slow_until_ && half < 2; ++half)
+    (chance(0.5) ? before : after) += uniform(slow_from_, slow_to_) / 2;
+  auto back = [this, me, peer, after, old, reply = std::move(reply)](Response response) {
     if (old) response.body = as_read_before_policies(response.body);
-    carry(peer, me, latency, [reply, response = std::move(response)] { reply(response); });
+    carry(
+        peer, me, after, [reply, response] { reply(response); }, response.body);
   };
+  if (state && request.path == "/commit") tell(Moment::committed, node);
+  if (!state && !cloud && request.path == "/commands") tell(Moment::ordered, node);
   std::vector<std::uint64_t> starts;
   const auto* cut = link(me, peer);
   if (!state && !cloud && request.path == "/commands" && (cut == nullptr || cut->hold)) {
@@ -433,7 +441,8 @@
                                           body["tenure"].get<std::uint64_t>()};
         }
   }
-  carry(me, peer, latency, [this, node, state, cloud, address, request = std::move(request), back, starts] {
+  const auto body = request.body;
+  const auto arrives = [this, node, state, cloud, address, request = std::move(request), back, starts] {
     const auto arrived = [this, starts] {
       for (const auto start : starts) direct_starts_.erase(start);
     };
@@ -459,7 +468,8 @@
       });
     }
     arrived();  // nobody is there
-  });
+  };
+  carry(me, peer, before, arrives, body);
 }
 
 // ---- state service
@@ -529,8 +539,12 @@
       failed.push_back(condition["k"]);
   }
   if (!failed.empty()) return {409, Json{{"failed", failed}, {"epoch", epoch_}}.dump(), std::nullopt};
+  for (const auto& write : body["writes"])
+    if (write.contains("write") && untaken.contains(write["write"].get<std::string>()))
+      return {400, R"({"error":"too large"})", std::nullopt};
   check_commit(body);
   if (!body["writes"].empty()) {
+    const bool vacant = !keys_.contains(wire::kLeaderKey);
     ++epoch_;
     for (const auto& write : body["writes"]) {
       if (write.contains("write")) {
@@ -544,19 +558,37 @@
       }
     }
     state_changed();
+    for (const auto& write : body["writes"])
+      if (vacant && write.value("write", "") == wire::kLeaderKey && write["data"].is_object())
+        tell(Moment::won, wire::parse_leader_record(write["data"]).node.back() - '0');
   }
   return {200, Json{{"epoch", epoch_}}.dump(), std::nullopt};
 }
 
+// Some requests get no answer; transactions among them may be carried out, at once or later.
+bool World::unanswered(const Request& request) {
+  const bool any = chance(0.002);
+  if (request.path != "/commit") return any;
+  auto body = Json::parse(request.body);
+  const auto& writes = body["writes"];
+  if (hold_next && std::any_of(writes.begin(), writes.end(), hold_next)) {
+    hold_next = nullptr;
+    held_back = std::move(body);
+    return true;
+  }
+  const bool late = now_ < late_until_ && chance(late_share_);
+  if (!any && !late) return false;
+  if (!late && chance(0.5)) return true;
+  const double delay = late ? uniform(2, 12) : chance(0.5) ? 0.0 : uniform(0.5, 15);
+  at(now_ + delay, [this, body = std::move(body)] { late_executed += commit(body).status == 200 ? 1U : 0U; });
+  return true;
+}
+
 Response World::state_call(int node, const Request& request, const net::Reply& later, bool& answered) {
   const bool refused = refused_until_.contains(node) && now_ < refused_until_[node];
   if (now_ < state_down_until_ || refused) return {503, "{}", std::nullopt};
-  if (chance(0.002)) {  // executed or not, but unanswered
+  if (unanswered(request)) {
     answered = false;
-    if (request.path == "/commit" && chance(0.5)) {
-      const double late = chance(0.5) ? 0.0 : uniform(0.5, 15);
-      at(now_ + late, [this, body = Json::parse(request.body)] { commit(body); });
-    }
     return {};
   }
   const auto limited = [this](std::optional<net::RateLimit>& limit, double rate, double amount) {
@@ -764,6 +796,9 @@
   const auto zone = "workers-" + machine.zone;
   Request request{Method::post, "/v1/report", to_json(report_of(machine)).dump()};
   keep_copy(request.body);
+  if (std::any_of(machine.tasks.begin(), machine.tasks.end(),
+                  [](const auto& task) { return task.second.phase == MemberPhase::exited; }))
+    tell(Moment::exited, node);
   auto next_node = [this, host = machine.host, exchange] {
     const auto found = machines_.find(host);
     if (found == machines_.end() || found->second.exchange != exchange) return;
@@ -802,14 +837,17 @@
     worker.lease_from = std::max(worker.lease_from, sent);
     execute(worker, wire::parse_orders(body["orders"]));
   };
-  carry(zone, node_name(node), 0.002 + report_delay,
-        [this, node, zone, host = machine.host, request, receive] {
-          to_node(node, request, [this, zone, node, host, receive](const Response& response) {
-            carry(node_name(node), zone, 0.002, [this, node, host, receive, response] {
-              if (!unheard(node, host, response.body)) receive(response);
-            });
-          });
-        });
+  const auto arrives = [this, node, zone, host = machine.host, request, receive] {
+    to_node(node, request, [this, zone, node, host, receive](const Response& response) {
+      if (response.status == 200 && response.body.find("\"verb\"") != std::string::npos)
+        tell(Moment::ordered, node);
+      const auto back = [this, node, host, receive, response] {
+        if (!unheard(node, host, response.body)) receive(response);
+      };
+      carry(node_name(node), zone, 0.002, back, response.body);
+    });
+  };
+  carry(zone, node_name(node), 0.002 + report_delay, arrives, request.body);
 }
 
 bool World::unheard(int node, const std::string& host, const std::string& body) {
@@ -911,7 +949,7 @@
   if (job.spec.shape == wire::Shape::daemon && !fails) return;
   const double run = job.completed.contains(member.index) ? 0.01
                      : machine.sick || job.broken         ? 0.5
-                                                          : job.run_s;
+                                                          : job.run_s * std::pow(job.longer, member.index);
   at(now_ + run, [this, host, member, try_no] { task_ended(host, member, try_no); });
 }
 
@@ -947,7 +985,10 @@
   const int node = pick(node_count_);
   at(now_ + 0.002, [this, node, request = std::move(request), answer] {
     to_node(node, request, [this, node, answer](const Response& response) {
-      at(now_ + 0.002 + out_delay(node_name(node)), [answer, response] { answer(response); });
+      at(now_ + 0.002 + out_delay(node_name(node)), [this, node, answer, response] {
+        answering_ = node;
+        answer(response);
+      });
     });
   });
 }
@@ -1106,7 +1147,10 @@
     violate("went_back", uid + " was cancelled, now " + phase);
   if (phase == "cancelled") {
     if (!cancel_asked(job)) violate("went_back", uid + " cancelled by nobody");
-    if (job.told_cancelled == 0) job.told_cancelled = now_;
+    if (job.told_cancelled == 0) {
+      job.told_cancelled = now_;
+      tell(Moment::cancelled, answering_);
+    }
   }
   if ((phase == "queued" || phase == "running") && doomed(job, asked, settings_.cancel_s))
     violate("orphaned", uid + " is " + phase);
@@ -1300,7 +1344,7 @@
   const double length = uniform(2, 30);
   const bool hold = chance(0.5);
   const auto node = node_name(pick(node_count_));
-  const int kind = pick(26);
+  const int kind = pick(28);
   log_->info("fault {} for {} s, {}, {}", kind, length, node, hold ? "packets held" : "packets lost");
   switch (kind) {
     case 0:
@@ -1363,10 +1407,17 @@
                              chance(0.5) ? "" : kZones[static_cast<std::size_t>(pick(2))]);
     case 24:
       return mute(chance(0.5) ? std::max(0, leader()) : pick(node_count_), length);
-    default:
+    case 25:
       for (int i = 0; i < node_count_; ++i)
         if (chance(0.5)) freeze(i, uniform(0.2, 25));
       return;
+    case 26:
+      return late_writes(chance(0.3) ? 1 : uniform(0.1, 0.8), length);
+    default: {
+      // From shorter than any time-out to longer than all.
+      const double most = 0.3 * std::exp2(uniform(0, 6));
+      return slow_state(chance(0.5) ? 0 : most / 2, most, length);
+    }
   }
 }
 
@@ -1376,6 +1427,8 @@
   cloud_down_until_ = std::min(cloud_down_until_, now_);
   no_spot_until_ = std::min(no_spot_until_, now_);
   for (auto& [node, until] : refused_until_) until = std::min(until, now_);
+  late_until_ = std::min(late_until_, now_);
+  slow_until_ = std::min(slow_until_, now_);
   for (auto& [node, until] : mute_until_) until = std::min(until, now_);
   for (auto& [host, machine] : machines_) machine.deaf_until = std::min(machine.deaf_until, now_);
   for (auto& [node, freeze] : freezes_) freeze.pending = 0;
@@ -1677,7 +1730,8 @@
 
 // What may keep a user from an answer, whatever becomes of machines and cloud.
 bool World::troubled() const {
-  return now_ < state_down_until_ || deaf_node >= 0 || unread_node >= 0 || !unread.empty() || no_puts ||
+  return now_ < state_down_until_ || now_ < slow_until_ || deaf_node >= 0 || unread_node >= 0 ||
+         !unread.empty() || no_puts ||
          std::any_of(refused_until_.begin(), refused_until_.end(),
                      [this](const auto& refused) { return now_ < refused.second; }) ||
          std::any_of(links_.begin(), links_.end(),
--- a/tests/sim/world.hpp
+++ b/tests/sim/world.hpp
@@ -11,6 +11,7 @@
 #include <random>
 #include <set>
 #include <string>
+#include <utility>
 #include <vector>
 
 #include "app/node.hpp"
@@ -84,6 +85,7 @@
 struct SimJob {
   wire::JobSpec spec;
   double run_s = 0;
+  double longer = 1;  // each further task takes so many times the one before
   bool submitted = false;
   bool accepted = false;
   bool cancel_asked = false;
@@ -115,6 +117,15 @@
   double cancel_s = 40;
 };
 
+// What troubles may be timed by.
+enum class Moment {
+  cancelled,  // a user was told so, by this controller
+  won,        // this one's reign began
+  committed,  // this one sent a transaction
+  ordered,    // this one sent a machine orders, directly or as an answer
+  exited      // a machine told this one that a task has ended
+};
+
 class World {
  public:
   // `controllers`: as many, up to ten; 0 when real processes take their place (see the smoke test). By
@@ -126,6 +137,7 @@
   // Ways to controllers and machines outside the simulation.
   std::function<void(int node, net::Request, net::Reply)> to_node;
   std::function<std::string(const std::string& host)> address_of;
+  std::function<void(Moment, int node)> on_moment;  // called in the middle of the step
   void serve_state(const net::Request& request, net::Reply reply);
   void serve_cloud(const net::Request& request, const net::Reply& reply) { reply(cloud_call(request)); }
   net::Response serve_machine(const std::string& host, const net::Request& request);
@@ -144,6 +156,17 @@
   void isolate(int node, double seconds, bool hold = false);
   void state_outage(double seconds) { state_down_until_ = now_ + seconds; }
   void refuse(int node, double seconds) { refused_until_[node] = now_ + seconds; }
+  // This part of the transactions gets no answer and is carried out later, after newer ones.
+  void late_writes(double share, double seconds) {
+    late_share_ = share;
+    late_until_ = now_ + seconds;
+  }
+  // Requests to the state service take so long, each half of it before or after they are carried out.
+  void slow_state(double from_s, double to_s, double seconds) {
+    slow_from_ = from_s;
+    slow_to_ = to_s;
+    slow_until_ = now_ + seconds;
+  }
   void cloud_outage(double seconds) { cloud_down_until_ = now_ + seconds; }
   void kill_machine();
   void kill_machines(double share);
@@ -235,13 +258,23 @@
   bool no_puts = false;                              // the limit of writes is used up
   double at_limit = 0;                               // part of the requests that are refused for the limit
   int unanswered_puts = 0;                           // of jobs: so many are executed without an answer
-  bool unchecked_records = false;                    // for starts that no controller ordered
+  // The next transaction with a write that it is true of gets no answer and waits in `held_back`.
+  std::function<bool(const wire::Json& write)> hold_next;
+  std::optional<wire::Json> held_back;
+  net::Response carry_out_held() { return commit(*std::exchange(held_back, std::nullopt)); }
+  std::uint64_t late_executed = 0;  // transactions without an answer, carried out late
+  bool unchecked_records = false;   // for starts that no controller ordered
   // Class -> machines that make one replica; what controllers that boot while `spanning` know of it.
   std::map<std::string, std::uint32_t> spans;
   bool spanning = true;
   bool split_seen = false;     // also where the leader knows no replicas
   double half_limit_s = 0;     // in which a replica that is partly there is whole or gone; 0: not checked
   bool moves_checked = false;  // replicas are stopped by nothing but moves: a part of a job's at a time
+  // Keys whose writes are refused as malformed.
+  std::set<std::string> untaken;
+  // Seconds by which this message is late: of controllers, "state", machines (commands and their answers)
+  // and "workers-" with a zone (reports and theirs); the body is empty between controllers.
+  std::function<double(const std::string& from, const std::string& to, const std::string& body)> held_up;
   // Whether all members of a replica run, and how many replicas of the job are whole.
   bool whole(const std::string& uid, std::uint32_t replica) const;
   std::uint32_t whole(const std::string& uid) const;
@@ -279,13 +312,18 @@
   // Runs work of a controller; later if it stands still.
   void on_node(int node, std::function<void()> work);
   double out_delay(const std::string& from) const;
+  void tell(Moment moment, int node) const {
+    if (on_moment) on_moment(moment, node);
+  }
   // Carries a message; it arrives late or never when the link is cut.
-  void carry(const std::string& from, const std::string& to, double latency, std::function<void()> deliver);
+  void carry(const std::string& from, const std::string& to, double latency, std::function<void()> deliver,
+             const std::string& body = "");
   const Link* link(const std::string& a, const std::string& b) const;
   void http(int node, const std::string& address, net::Request request, net::Reply reply);
 
   net::Response state_call(int node, const net::Request& request, const net::Reply& later, bool& answered);
   net::Response commit(const wire::Json& body);
+  bool unanswered(const net::Request& request);
   bool too_large(const wire::Json& body) const;
   void state_changed();
   wire::Json news(std::uint64_t after) const;
@@ -365,6 +403,11 @@
   std::map<std::uint64_t, std::pair<double, double>> holds_;  // ttl, ends
   std::vector<std::function<void()>> watchers_;
   double state_down_until_ = 0;
+  double late_share_ = 0;
+  double late_until_ = 0;
+  double slow_from_ = 0;
+  double slow_to_ = 0;
+  double slow_until_ = 0;
   bool state_was_down_ = false;
   double troubled_at_ = 0;  // when something between users, controllers and the state service last was broken
   std::map<int, double> refused_until_;
@@ -382,6 +425,7 @@
   std::map<std::string, double> gone_machines_;      // and since when
   std::deque<std::pair<double, std::string>> kept_;  // reports and direct answers, when they were sent
   std::uint64_t copies_delivered_ = 0;
+  int answering_ = -1;  // the controller whose answer a user reads
   std::map<std::string, SimJob> jobs_;
   struct DirectStart {  // on its way to a machine
     std::string host;
