leader, elector: each answer brings the stops of what is over; a lost take is given up

Cause: a leader answers a report that shows no fence of its reign, or that a direct answer has overtaken, with 200 and no orders. That extends the worker's lease and stops nothing. A cancelled task thus outlived cancel_s: behind the last answer of a leader that was cut off, behind the first answers of leaders in a row, and where the one direct stop was lost. A machine whose record cannot be read was answered too, uncounted, and its tasks started elsewhere. And a controller whose transaction that takes the leadership is lost renewed its lease on without end: alone it never led again.

Change: stops_for() names what is over of all that a report lists, and goes with those answers; what is not known and runs something is refused until it has answered a question; a lease that took no key within a time-to-live is ended.

--- a/src/election/elector.cpp
+++ b/src/election/elector.cpp
@@ -120,6 +120,7 @@
 }
 
 void Elector::take(std::uint64_t hold) {
+  vacant_since_ = loop().now();  // as far as is known, until the transaction shows
   state::Transaction transaction;
   transaction.when = {{wire::kTermKey, view_.stamp(wire::kTermKey)}, {wire::kLeaderKey, wire::Stamp{0}}};
   transaction.writes = {{wire::kTermKey, next_term(), std::nullopt},
@@ -148,9 +149,12 @@
                           if (!*renewed) return lost();
                           on_validity_({hold, sent + timing_.ttl_s * (1 - timing_.drift)});
                         })});
-  // A lease that took no key is of no use: another controller leads, or the transaction never arrived.
+  // A lease that took no key is of no use: another controller leads, or the transaction never arrived. Then
+  // it is ended, so that the transaction finds nothing should it come after all.
   const auto record = leader();
-  if (record && record->hold != hold) lost();
+  const bool never = !record && loop().now() - vacant_since_ > timing_.ttl_s;
+  if (never) store_.tell(state::EndLease{hold});
+  if (never || (record && record->hold != hold)) lost();
 }
 
 void Elector::on(Resign&) {
--- a/src/leader/reports.cpp
+++ b/src/leader/reports.cpp
@@ -30,6 +30,21 @@
 constexpr double kRegularReport =
     0.7;  // of the report interval: after this it is not a change that is reported
 constexpr std::size_t kMaxOrders = 400;  // keeps an answer below 64 KiB
+
+bool runs(const wire::MemberReport& member) { return member.phase != MemberPhase::exited; }
+
+// Invariant 10: an answer extends the lease of all that the report lists, so it stops what is over, whatever
+// else is not believed of the report. It names the attempt: one that is no longer there is not harmed.
+std::vector<Order> stops_for(const wire::Report& report, const std::map<wire::JobId, Job>& jobs) {
+  std::vector<Order> stops;
+  for (const auto& member : report.members) {
+    const auto job = jobs.find(member.member.job);
+    const bool over = job == jobs.end() || job->second.over();
+    if (over && runs(member) && stops.size() < kMaxOrders)
+      stops.push_back({Verb::stop, member.member, member.try_no, 0});
+  }
+  return stops;
+}
 }  // namespace
 
 wire::Ruling Leader::granted(std::vector<Order> orders) const {
@@ -46,7 +61,9 @@
   if (machine == nullptr) {
     if (brief) return message.reply(in_full);
     meet(report);
-    return message.reply(granted({}));
+    // Its lease is not counted here: it does not go on while anything runs there (invariants 5 and 29).
+    const bool idle = std::none_of(report.members.begin(), report.members.end(), runs);
+    return message.reply(idle ? granted({}) : wire::Ruling{});
   }
   // Invariant 26: its worker waits for no answer to this one, so none extends a lease.
   if (machine->heard_already(report)) {
@@ -63,7 +80,7 @@
   // An answer with a valid fence extends the worker's lease whatever it holds: also when a direct answer has
   // overtaken the report. Else its tasks would be started elsewhere while they still run (invariant 6).
   machine->last_answered = loop().now();
-  if (!news) return message.reply(granted({}));
+  if (!news) return message.reply(granted(stops_for(report, jobs_)));
   machine->hearing.answered(loop().now(), report.counter, report.tenure, wire::Fence{term_}, message.by);
   // What is placed now goes out with the answer: that spares a request and a report for each task.
   if (!queue_.jobs().empty() && machine->takes_tasks() && machine->room().cores > 0) {
@@ -91,7 +108,7 @@
   machine.reported = report.counter;
   machine.last_contact = now;
   machine.last_answered = now;  // it may be true all the same (invariant 6)
-  reply(granted({}));
+  reply(granted(stops_for(report, jobs_)));
 }
 
 // Invariant 26: a host that nothing of ours names. It is recorded and used once it has answered a question;
