tests: one end only, and no term begun twice, whatever comes late

A cancellation without its condition, and a win without the term's, were seen by no test: the copies came when another condition failed as well. Now every cancellation (or every done) of a job waits until the other was told, and the copy of a win comes when the leader's key has just gone and its lease has not.

--- a/tests/meetings_state_test.cpp
+++ b/tests/meetings_state_test.cpp
@@ -171,7 +171,15 @@
       for (const double limit = world.now() + 60; world.now() < limit && !gone_again(world, came);)
         world.run(world.now() + 0.1);
     const auto writes = (*world.held_back)["writes"];
+    const auto term = [&world] {
+      const auto found = world.keys().find(wire::kTermKey);
+      return found == world.keys().end() ? 0 : found->second.data["n"].get<int>();
+    };
+    const int before = term();
     const auto status = world.carry_out_held().status;
+    for (const auto& write : writes)
+      EXPECT_TRUE(status != 200 || key_of(write) != wire::kTermKey || term() > before)
+          << "a term begun twice";
     ++played;
     world.run(world.now() + 20);
     const bool made = std::string(record.what) == "create";
@@ -211,6 +219,35 @@
   EXPECT_GE(late, 100U);
 }
 
+// Guards against an end that a late transaction changes: every `done` of a job, or every cancellation, stays
+// without an answer until the other one was told; the last copy of it comes then.
+TEST_P(Meeting, OneEndOnly) {
+  for (const std::string phase : {"done", "cancelled"})
+    for (int seed = 1; seed <= 4; ++seed) {
+      SCOPED_TRACE(phase + " comes late, seed " + std::to_string(seed));
+      World world(static_cast<std::uint64_t>(seed), GetParam());
+      world.run(5);
+      const auto uid = world.submit(batch(2, 10));
+      const auto& job = world.jobs().at(uid);
+      const auto over = [&job] { return job.told_done || job.told_cancelled > 0; };
+      std::function<bool(const wire::Json&)> end = [&](const wire::Json& write) {
+        if (key_of(write) != wire::job_key({uid}) || write["data"]["phase"] != phase || over()) return false;
+        world.at(world.now(), [&] { world.hold_next = end; });
+        return true;
+      };
+      world.hold_next = end;
+      while (world.now() < 60 && (phase == "done" ? !world.held_back : job.begun == 0))
+        world.run(world.now() + 0.1);
+      world.run(world.now() + 2 * seed * (phase == "done" ? 0.1 : 1));
+      world.cancel(uid);
+      while (world.now() < 120 && !over()) world.run(world.now() + 0.1);
+      ASSERT_TRUE(over() && world.held_back);
+      EXPECT_EQ(job.told_done, phase != "done");
+      EXPECT_EQ(world.carry_out_held().status, 409);
+      expect_all_over(world, 30);
+    }
+}
+
 // Guards against a controller that waits for ever for a win that never comes: its transaction is lost, its
 // lease is renewed, and no other controller can take over.
 TEST_P(Meeting, AWinThatIsLostIsTriedAgain) {
@@ -233,6 +270,20 @@
   expect_all_over(world, 120);
 }
 
+// Guards against a term that is begun twice: the copy of a win that comes when the leader's key has just gone
+// and its own lease has not ended.
+TEST_P(Meeting, AWinOfBeforeBeginsNoTermAgain) {
+  World world(32, GetParam());
+  world.hold_next = [](const wire::Json& write) { return key_of(write) == wire::kLeaderKey; };
+  while (world.now() < 30 && !world.keys().contains(wire::kLeaderKey)) world.run(world.now() + 0.05);
+  ASSERT_TRUE(world.held_back && world.keys().contains(wire::kLeaderKey));
+  world.tamper(wire::kLeaderKey, std::nullopt);
+  EXPECT_EQ(world.carry_out_held().status, 409);
+  world.run(world.now() + 20);
+  submit_some(world);
+  expect_all_over(world, 120);
+}
+
 // ---- the state service slow, or refusing the leader and then all
 
 struct Slow {
