--- a/tests/meetings_state_test.cpp
+++ b/tests/meetings_state_test.cpp
@@ -314,6 +314,28 @@
     }
 }
 
+// Guards against a leader that outlives its lease: renewals are carried out at once and answered just before
+// they would be given up, then it is cut off and another wins without delay.
+TEST_P(Meeting, ALeaseCountsFromWhenItsRenewalWasSent) {
+  int followed = 0;
+  for (int seed = 1; seed <= 30; ++seed) {
+    SCOPED_TRACE("seed " + std::to_string(seed));
+    World world(static_cast<std::uint64_t>(seed), GetParam());
+    world.run(10);
+    const int first = world.leader();
+    ASSERT_GE(first, 0);
+    world.slow_state(0.9, 0.98, 1.5);
+    world.run(11.6);
+    world.slow_state(0, 0, 0);
+    world.run(world.now() + world.uniform(0.5, 0.9));
+    world.isolate(first, 20);
+    world.run(18);
+    followed += world.leader() >= 0 && world.leader() != first;
+    EXPECT_TRUE(world.broken().empty()) << listing(world.broken());
+  }
+  EXPECT_GE(followed, 20);
+}
+
 // Guards against tasks that outlive their cancellation, and against older answers: the service refuses the
 // leader alone, then all for up to three times cancel_s, while users cancel and ask.
 TEST_P(Meeting, RefusedAloneAndThenAll) {
