--- a/tests/meetings_state_test.cpp
+++ b/tests/meetings_state_test.cpp
@@ -142,10 +142,10 @@
 // the key is gone once more. Then all controllers end and the next leader reads what is stored.
 TEST_P(LateTransaction, ChangesNothingAfterItsRepetition) {
   const auto record = records()[static_cast<std::size_t>(std::get<0>(GetParam()))];
-  int played = 0;
-  for (int moment = 0; moment < 4; ++moment) {
-    SCOPED_TRACE("moment " + std::to_string(moment));
-    World world(static_cast<std::uint64_t>(40 + moment), std::get<1>(GetParam()));
+  int moment = 0;  // not on every day is there such a record to hold back
+  for (int seed = 40; seed < 52 && moment < 4; ++seed) {
+    SCOPED_TRACE("moment " + std::to_string(moment) + ", seed " + std::to_string(seed));
+    World world(static_cast<std::uint64_t>(seed), std::get<1>(GetParam()));
     world.hold_next = [&world, record](const wire::Json& write) { return matches(world, record, write); };
     for (int node = 0; node < world.nodes(); ++node) {
       world.operator_files[node] = policy_file(1);
@@ -180,7 +180,6 @@
     for (const auto& write : writes)
       EXPECT_TRUE(status != 200 || key_of(write) != wire::kTermKey || term() > before)
           << "a term begun twice";
-    ++played;
     world.run(world.now() + 20);
     const bool made = std::string(record.what) == "create";
     EXPECT_TRUE(status != 200 || !newer || made) << writes.dump();
@@ -191,8 +190,9 @@
     for (int node = 0; node < world.nodes(); ++node) world.crash(node, 1);
     world.run(std::max(world.now() + 5, 65.0));
     expect_all_over(world, 120);
+    ++moment;
   }
-  EXPECT_GE(played, 3) << "held back too seldom";
+  EXPECT_EQ(moment, 4) << "held back too seldom";
 }
 
 class Meeting : public testing::TestWithParam<int> {};
