gateway: what was found without machine types stays undecided

Cause: a submission that came before the machine types were known was found to fit none, looked up behind a read barrier, and refused for good (422) when the types had become known in between; users do not retry that.

Change: whether they were known is noted when the reason is found.

--- a/src/gateway/gateway.cpp
+++ b/src/gateway/gateway.cpp
@@ -328,10 +328,12 @@
 
 // For good. A job accepted before is answered with its state, whatever speaks against it now.
 void Gateway::refuse(const CallPtr& call, const JobId& id, const Response& reason) {
-  look_up(id, guard([this, call, id, reason](bool fine, const Known* found) {
+  // What was found without them stays undecided, also when they become known meanwhile.
+  const bool undecided = flavors_.empty();
+  look_up(id, guard([this, call, id, reason, undecided](bool fine, const Known* found) {
             if (!fine) return unable(call);
             if (found != nullptr) return call->reply(describe(id, *found));
-            if (flavors_.empty()) return call->reply({503, "{}", kRetryAfterS});
+            if (undecided) return call->reply({503, "{}", kRetryAfterS});
             call->reply(reason);
           }));
 }
--- a/tests/meetings_orders_test.cpp
+++ b/tests/meetings_orders_test.cpp
@@ -334,6 +334,27 @@
     }
 }
 
+// On a site that has just begun the machine types become known while a submission is looked up: it must not
+// be refused for good because none was known when it came.
+TEST_P(Meetings, NothingIsRefusedWhileTheMachineTypesBecomeKnown) {
+  for (int seed = 1; seed <= 3; ++seed) {
+    World world(static_cast<std::uint64_t>(95 + seed), GetParam());
+    world.held_up = [&](const std::string& from, const std::string&, const std::string&) {
+      return from == "state" ? 0.3 : 0.0;
+    };
+    bool before = false;
+    for (int i = 0; i < 60; ++i) {
+      before = before || !world.keys().contains(wire::kCatalogueKey);
+      world.submit(task_of(1, 1));
+      world.run(world.now() + 0.1);
+    }
+    EXPECT_TRUE(before && world.keys().contains(wire::kCatalogueKey));
+    world.held_up = nullptr;
+    world.run(world.now() + 60);
+    expect_done(world, "seed " + std::to_string(seed));
+  }
+}
+
 // ---- commands and answers held up for seconds
 
 // The first direct order of this kind for a task of this job, and when it arrives.
