--- a/tests/sim/meetings.cpp
+++ b/tests/sim/meetings.cpp
@@ -58,6 +58,7 @@
   over_ = true;
   for (const auto& uid : long_jobs_) world_.cancel(uid);
   world_.heal();
+  world_.deaf_node = world_.unread_node = -1;
   tell("all is well");
   world_.run(world_.now() + kOverBase + kOverLeases * timing_.lease_s);
   auto broken = world_.broken();
@@ -175,7 +176,7 @@
     tell(what + (of_one ? " " + name : "") + " for " + text(seconds) + " s");
   };
   const std::string how = held ? ", packets held," : "";
-  switch (world_.pick(18)) {
+  switch (world_.pick(20)) {
     case 0:
     case 1:
       say("the state service refuses");
@@ -241,6 +242,15 @@
       say("up to " + text(most) + " s for answers of the state service", false);
       return world_.slow_state(world_.chance(0.5) ? 0 : most / 2, most, seconds);
     }
+    case 17:
+    case 18: {
+      // Its renewals are answered, so it goes on, but it learns nothing.
+      const bool reads = world_.chance(0.3);
+      say(reads ? "keys are not read by" : "watches are not answered at");
+      auto& knob = reads ? world_.unread_node : world_.deaf_node;
+      knob = chosen;
+      return world_.at(world_.now() + seconds, [&knob] { knob = -1; });
+    }
     default:
       say("copies of reports", false);
       return world_.copies_come(world_.uniform(0.02, 0.5), seconds);
