--- a/tests/meeting_days.cpp
+++ b/tests/meeting_days.cpp
@@ -9,6 +9,7 @@
 namespace {
 
 constexpr int kExitBroken = 1;
+constexpr std::size_t kLines = 10;  // of a day, unless it is told alone
 
 bool play(std::uint64_t seed, int controllers, bool story) {
   std::optional<bankhill::sim::MeetingDay> day;
@@ -23,7 +24,8 @@
     for (const auto& line : day->story()) std::cout << "  " << line << "\n";
   if (broken.empty()) return true;
   std::cout << (day ? day->name() : "seed " + std::to_string(seed)) << "\n";
-  for (const auto& line : broken) std::cout << "  " << line << "\n";
+  for (std::size_t i = 0; i < broken.size() && (story || i < kLines); ++i)
+    std::cout << "  " << broken[i] << "\n";
   std::cout << std::flush;
   return false;
 }
