--- a/tests/meetings_gap_test.cpp
+++ b/tests/meetings_gap_test.cpp
@@ -128,8 +128,14 @@
       Site site(seed, controllers);
       auto& world = site.world;
       ASSERT_GE(site.old_leader, 0);
+      const auto me = "node-" + std::to_string(site.old_leader);
+      world.held_up = [&me](const std::string& from, const std::string& to, const std::string& body) {
+        return from == "state" && to == me && body.find("\"epoch\"") != std::string::npos ? 0.6 : 0.0;
+      };
+      world.run(world.now() + 1);
       world.freeze(site.old_leader, 34);
       world.run(world.now() + 0.3);
+      world.held_up = {};
       site.cancel_all();
       world.run(world.now() + 0.3);
       ASSERT_GT(site.confirmed(), 0);
