leader: one that hears no sibling does not wait for whose fault it is that machines are silent

Cause: since deaf machines are told from a deaf leader, a failing sample was followed by others for some worker waits.

--- a/src/leader/leader.cpp
+++ b/src/leader/leader.cpp
@@ -552,7 +552,9 @@
   if (sample_since_ < 0) sample_since_ = now;
   const bool known =
       kSampleKnown * static_cast<double>(sample_failed_) <= static_cast<double>(sample_heard_ + sample_lost_);
-  if (!known && !mute && now - sample_since_ < kSampleMemory * net::kWorkerWaitS) {
+  // One that hears no sibling is on the smaller side of a cut: there is nobody from whom more could be
+  // learned, and those that are not reached are soon no part of the sample any more.
+  if (!known && !mute && ports_.sibling_heard() && now - sample_since_ < kSampleMemory * net::kWorkerWaitS) {
     next_sample_ = std::min(next_sample_, now + settings_.pace_s / 2);
     return;
   }
--- a/tests/sim_test.cpp
+++ b/tests/sim_test.cpp
@@ -483,6 +483,34 @@
   EXPECT_TRUE(caught(world, "overshoot")) << listing(world.broken());
 }
 
+// On the smaller side of a cut between zones the leader hears no sibling and few machines: it waited for
+// reports to tell whose fault that is until those that it did not reach were no part of its sample any more,
+// and kept the leadership for as long as the cut lasted (fjordskatt-grown, the rough day).
+TEST(Scenario, LeaderOnTheSmallerSideOfACutGivesWayAtOnce) {
+  for (const std::uint64_t seed : {21, 22, 23, 24}) {
+    World world(seed);
+    world.large_offered = false;
+    world.run(5);
+    for (int i = 0; i < 6; ++i) world.submit(small_job(4, 2, 400));
+    world.run(60);
+    const int old = world.leader();
+    ASSERT_GE(old, 0);
+    const auto me = "node-" + std::to_string(old);
+    for (int node = 0; node < world.nodes(); ++node)
+      if (node != old) world.cut(me, "node-" + std::to_string(node), 60, false);
+    std::size_t reached = 0;
+    for (const auto& [host, machine] : world.machines())
+      if (machine.up && 4 * ++reached > world.machines().size()) world.cut(me, host, 60, false);
+    for (const auto* zone : {"za", "zb"}) world.cut(me, std::string("workers-") + zone, 60, false);
+    const double cut = world.now();
+    while (world.now() < cut + 60 && (world.leader() < 0 || world.leader() == old))
+      world.run(world.now() + 0.1);
+    EXPECT_LT(world.now(), cut + 10) << "seed " << seed;
+    world.run(cut + 120);
+    EXPECT_TRUE(world.broken().empty()) << listing(world.broken());
+  }
+}
+
 // Every machine unreachable from the leader alone: workers must be heard through its siblings, their machines
 // must not be released, and the leader gives way to a sibling that reaches them.
 TEST(Scenario, LeaderThatCannotReachTheWorkers) {
