--- a/tests/meetings_cut_test.cpp
+++ b/tests/meetings_cut_test.cpp
@@ -6,7 +6,7 @@
 #include <numeric>
 #include <set>
 
-#include "sim/world.hpp"
+#include "sim/jobs.hpp"
 
 namespace bankhill::sim {
 namespace {
@@ -15,16 +15,9 @@
 constexpr double kCancel = 40;
 
 SimJob batch(std::uint32_t members, double cores, double run_s, const std::string& owner = "red") {
-  SimJob job;
-  job.spec.queue = "any";
+  auto job = kept_batch(members, cores, run_s);
   job.spec.owner = owner;
-  job.spec.members = members;
-  job.spec.need = {cores, 0, 2};
-  job.spec.bundle = "img-1";
-  job.spec.size_gb = 1;
-  job.spec.guess_s = job.run_s = run_s;
   job.spec.flavors = std::vector<std::string>{"small"};
-  job.kept = true;
   return job;
 }
 
--- a/tests/meetings_gap_test.cpp
+++ b/tests/meetings_gap_test.cpp
@@ -5,7 +5,7 @@
 
 #include <array>
 
-#include "sim/world.hpp"
+#include "sim/jobs.hpp"
 
 namespace bankhill::sim {
 namespace {
@@ -23,24 +23,11 @@
   Site(std::uint64_t seed, int controllers) : world(seed, controllers, kTiming) {
     world.large_offered = false;
     world.run(5);
-    for (int i = 0; i < 6; ++i) cancelled.push_back(submit(wire::Shape::sweep, 3));
-    service = submit(wire::Shape::daemon, 2);
+    for (int i = 0; i < 6; ++i) cancelled.push_back(world.submit(kept_batch(3, 1, 2000)));
+    service = world.submit(kept_service(2, 1));
     world.run(70);
     old_leader = world.leader();
   }
-  std::string submit(wire::Shape shape, std::uint32_t members) {
-    SimJob job;
-    job.spec.queue = "any";
-    job.spec.owner = "red";
-    job.spec.shape = shape;
-    job.spec.members = members;
-    job.spec.need = {1, 0, 2};
-    job.spec.bundle = "img-1";
-    job.spec.size_gb = 1;
-    job.run_s = 2000;
-    job.kept = true;
-    return world.submit(job);
-  }
   // Users withdraw through the controllers that are served, until they are told.
   void cancel_all() {
     for (const auto& uid : cancelled) world.cancel(uid);
--- a/tests/meetings_orders_test.cpp
+++ b/tests/meetings_orders_test.cpp
@@ -5,7 +5,7 @@
 #include <algorithm>
 #include <optional>
 
-#include "sim/world.hpp"
+#include "sim/jobs.hpp"
 
 namespace bankhill::sim {
 namespace {
@@ -13,16 +13,8 @@
 constexpr double kLease = 20;  // of the simulated site
 
 SimJob task_of(double cores, double run_s, std::uint32_t members = 1) {
-  SimJob job;
-  job.spec.queue = "any";
-  job.spec.owner = "red";
-  job.spec.members = members;
-  job.spec.need = {cores, 0, 2};
-  job.spec.bundle = "img-1";
-  job.spec.size_gb = 1;
+  auto job = kept_batch(members, cores, run_s);
   job.spec.flavors = std::vector<std::string>{"small"};
-  job.spec.guess_s = job.run_s = run_s;
-  job.kept = true;
   return job;
 }
 
--- a/tests/meetings_state_test.cpp
+++ b/tests/meetings_state_test.cpp
@@ -4,22 +4,15 @@
 
 #include <algorithm>
 
-#include "sim/world.hpp"
+#include "sim/jobs.hpp"
 
 namespace bankhill::sim {
 namespace {
 
 SimJob batch(std::uint32_t members, double run_s, std::vector<std::string> needs = {}) {
-  SimJob job;
-  job.spec.queue = "any";
-  job.spec.owner = "red";
-  job.spec.members = members;
-  job.spec.need = {1, 0, 1};
-  job.spec.bundle = "img-1";
-  job.spec.size_gb = 1;
-  job.spec.guess_s = job.run_s = run_s;
+  auto job = kept_batch(members, 1, run_s);
+  job.spec.need.ram_gb = 1;
   for (auto& need : needs) job.spec.waits_on.push_back({std::move(need)});
-  job.kept = true;
   return job;
 }
 
