--- a/src/leader/placement.cpp
+++ b/src/leader/placement.cpp
@@ -25,6 +25,7 @@
 constexpr int kBindsPerTurn = 200;
 constexpr double kServicesTogether = 8;  // may be on one machine in any case
 constexpr double kServiceShare = 0.04;   // of all services: may be on one machine
+constexpr double kSpreadBoots = 2;       // boots that a service waits for a machine that has fewer
 constexpr std::size_t kRoomLook = 48;    // machines looked at for a task that needs others stopped
 constexpr double kRoomAgain = 0.2;       // paces after which a batch looks for others to stop again
 constexpr std::size_t kRoomTries = queue::kLookedAt;  // jobs in a turn that look for others to stop
@@ -133,6 +134,9 @@
 // One machine's end must not take too large a part of all services with it.
 bool Leader::crowded(const Machine& machine, const Job& job) const {
   if (!job.service()) return false;
+  // In a fleet of few large machines none with fewer ever comes: hundreds waited for minutes beside free
+  // cores.
+  if (!job.begun() && loop().wall() - job.ready_at > kSpreadBoots * longest_boot_s()) return false;
   const double most = std::max(kServicesTogether * job.spec.need.cores, kServiceShare * service_cores_);
   return machine.service_cores + job.spec.need.cores > most + kRounding;
 }
--- a/tests/sim_test.cpp
+++ b/tests/sim_test.cpp
@@ -483,6 +483,25 @@
   EXPECT_TRUE(caught(world, "overshoot")) << listing(world.broken());
 }
 
+// Services are spread, so that one machine's end takes few of them; where the fleet is one large machine all
+// of them are served all the same.
+TEST(Scenario, ServicesDoNotWaitForMachinesThatNobodyRents) {
+  World world(31);
+  world.most_machines = 1;
+  world.run(5);
+  std::vector<std::string> services;
+  for (int i = 0; i < 14; ++i) {
+    auto job = plain_job("red", 1, 1, 0);
+    job.spec.shape = wire::Shape::daemon;
+    job.spec.flavors = std::vector<std::string>{"large"};
+    job.kept = true;
+    services.push_back(world.submit(job));
+  }
+  world.run(100);
+  for (const auto& uid : services) EXPECT_EQ(world.whole(uid), 1U) << uid << " waits beside free cores";
+  EXPECT_TRUE(world.broken().empty()) << listing(world.broken());
+}
+
 // On the smaller side of a cut between zones the leader hears no sibling and few machines: it waited for
 // reports to tell whose fault that is until those that it did not reach were no part of its sample any more,
 // and kept the leadership for as long as the cut lasted (fjordskatt-grown, the rough day).
