--- a/tests/sim/meetings.cpp
+++ b/tests/sim/meetings.cpp
@@ -41,6 +41,16 @@
              timing_) {
   name_ = "seed " + std::to_string(seed) + ", " + std::to_string(world_.nodes()) + " controllers, " +
           text(timing_.report_s) + "/" + text(timing_.lease_s) + "/" + text(timing_.cancel_s);
+  draw_machines();
+}
+
+// On some days machines are up within two seconds of their rental, or the cloud's lists are late.
+void MeetingDay::draw_machines() {
+  world_.unowned_limit_s = kOverLeases * timing_.lease_s;
+  if (world_.chance(0.5)) world_.quick_boots = world_.uniform(0.3, 1);
+  world_.lists_lag = world_.chance(0.5);
+  if (world_.quick_boots > 0) name_ += ", quick boots";
+  if (world_.lists_lag) name_ += ", late lists";
 }
 
 void MeetingDay::tell(const std::string& what) { story_.push_back(text(world_.now()) + " " + what); }
@@ -165,8 +175,39 @@
   return kind < 0.8 ? node : world_.pick(world_.nodes());
 }
 
+// Old reports that meet a new leader, who may be made for it.
+void MeetingDay::trouble_of_reports() {
+  const double share = world_.chance(0.3) ? 1 : world_.uniform(0.1, 0.8);
+  const double sent = timing_.lease_s * world_.uniform(0.1, 5);
+  const double after = world_.chance(0.5) ? world_.uniform(0, 4) : timing_.lease_s * world_.uniform(0, 1.5);
+  const bool everywhere = world_.chance(0.5);
+  switch (world_.pick(3)) {
+    case 0:
+      tell("copies of " + text(share) + " of the last " + text(sent) +
+           " s of reports come with the next win" + (everywhere ? ", everywhere" : ""));
+      world_.copies_at_win(share, world_.now() - sent, after, everywhere);
+      break;
+    case 1:
+      tell("copies of " + text(share) + " of the reports from now on come with the next win" +
+           (everywhere ? ", everywhere" : ""));
+      world_.copies_at_win(share, world_.now(), after, everywhere);
+      break;
+    default: {
+      const double held = length();
+      tell("reports, " + text(share) + " of " + text(held) + " s, held until " + text(after) +
+           " s after the next win");
+      world_.hold_reports(share, held, after);
+    }
+  }
+  if (world_.chance(0.5))
+    world_.at(world_.now() + offset(), [this] {
+      if (!over_) end_reign();
+    });
+}
+
 void MeetingDay::trouble(int node) {
   if (over_) return;
+  if (world_.chance(0.15)) return trouble_of_reports();
   const int chosen = target(node);
   const auto name = node_name(chosen);
   const double seconds = length();
--- a/tests/sim/meetings.hpp
+++ b/tests/sim/meetings.hpp
@@ -29,6 +29,8 @@
   double length();
   int target(int node);
   void trouble(int node);
+  void trouble_of_reports();
+  void draw_machines();
   void tell(const std::string& text);
   std::vector<std::string> left_over();
 
--- a/tests/sim/world.cpp
+++ b/tests/sim/world.cpp
@@ -560,7 +560,7 @@
     state_changed();
     for (const auto& write : body["writes"])
       if (vacant && write.value("write", "") == wire::kLeaderKey && write["data"].is_object())
-        tell(Moment::won, wire::parse_leader_record(write["data"]).node.back() - '0');
+        won(wire::parse_leader_record(write["data"]).node.back() - '0');
   }
   return {200, Json{{"epoch", epoch_}}.dump(), std::nullopt};
 }
@@ -689,7 +689,9 @@
         const auto& host =
             add_machine(body["flavor"].get<std::string>(), body["rack_room"].get<std::string>(), spot).host;
         rentals_[name].push_back(host);
-        if (!chance(0.03)) at(now_ + uniform(2, 14), [this, host] { boot_machine(host); });
+        const bool quick = quick_boots > 0 && chance(quick_boots);
+        if (quick || !chance(0.03))
+          at(now_ + (quick ? uniform(0.1, 2) : uniform(2, 14)), [this, host] { boot_machine(host); });
       }
     }
     return {200, Json{{"hosts", rentals_[name]}}.dump(), std::nullopt};
@@ -699,19 +701,32 @@
     for (const auto& host : body["hosts"]) erase_machine(host.get<std::string>());
     return {200, "{}", std::nullopt};
   }
+  return {200, Json{{"hosts", cloud_list()}, {"has_next", false}}.dump(), std::nullopt};
+}
+
+// As it was some seconds ago. What was listed once remains listed until it is gone, and longer by the lag.
+Json World::cloud_list() {
+  const double lag = lists_lag ? kListLag * uniform(1, 2) : kListLag;
   Json hosts = Json::array();
-  for (const auto& [host, machine] : machines_)
-    if (now_ - machine.born > kListLag)
-      hosts.push_back({{"uid", host},
-                       {"address", address_of(host)},
-                       {"flavor", machine.flavor},
-                       {"rack_room", machine.zone},
-                       {"reclaimable", machine.spot},
-                       {"phase", machine.dead ? "failed"
-                                 : machine.up ? "running"
-                                              : "booting"},
-                       {"held_s", now_ - machine.born}});
-  return {200, Json{{"hosts", hosts}, {"has_next", false}}.dump(), std::nullopt};
+  const auto add = [&](const SimMachine& machine) {
+    const bool up = machine.up && (!lists_lag || now_ - machine.up_since > lag);
+    hosts.push_back({{"uid", machine.host},
+                     {"address", address_of(machine.host)},
+                     {"flavor", machine.flavor},
+                     {"rack_room", machine.zone},
+                     {"reclaimable", machine.spot},
+                     {"phase", machine.dead ? "failed"
+                               : up         ? "running"
+                                            : "booting"},
+                     {"held_s", std::max(0.0, now_ - machine.born - (lists_lag ? lag : 0))}});
+  };
+  for (auto& [host, machine] : machines_) {
+    machine.listed = machine.listed || now_ - machine.born > lag;
+    if (machine.listed) add(machine);
+  }
+  for (const auto& [gone, machine] : lately_gone_)
+    if (lists_lag && now_ - gone < lag && machine.listed) add(machine);
+  return hosts;
 }
 
 SimMachine& World::add_machine(const std::string& flavor, const std::string& zone, bool spot) {
@@ -728,6 +743,9 @@
 }
 
 void World::erase_machine(const std::string& host) {
+  while (!lately_gone_.empty() && now_ - lately_gone_.front().first > 2 * kListLag) lately_gone_.pop_front();
+  if (const auto found = machines_.find(host); found != machines_.end())
+    lately_gone_.emplace_back(now_, found->second);
   if (machines_.erase(host) > 0) gone_machines_[host] = now_;
 }
 
@@ -737,7 +755,7 @@
   const auto found = machines_.find(host);
   if (found == machines_.end() || found->second.dead) return;
   found->second.up = true;
-  found->second.lease_from = now_;
+  found->second.lease_from = found->second.up_since = now_;
   machine_step(host);
 }
 
@@ -847,6 +865,10 @@
       carry(node_name(node), zone, 0.002, back, response.body);
     });
   };
+  if (now_ < held_reports_.until && chance(held_reports_.share)) {
+    held_reports_.bodies.push_back(request.body);
+    return;
+  }
   carry(zone, node_name(node), 0.002 + report_delay, arrives, request.body);
 }
 
@@ -1291,6 +1313,34 @@
   to_node(node, report, [](const Response&) {});
 }
 
+void World::copies_at_win(double share, double since, double within_s, bool everywhere) {
+  at_win_.push_back({share, since, within_s, everywhere});
+}
+
+void World::hold_reports(double share, double for_s, double after_win_s) {
+  held_reports_.share = share;
+  held_reports_.until = now_ + for_s;
+  held_reports_.after_win_s = after_win_s;
+}
+
+void World::won(int node) {
+  tell(Moment::won, node);
+  for (const auto& copies : std::exchange(at_win_, {}))
+    for (const auto& [sent, body] : kept_) {
+      if (sent < copies.since || !chance(copies.share)) continue;
+      const double when = now_ + (chance(0.5) ? 0.001 : uniform(0, copies.within_s));
+      for (int other = 0; other < node_count_; ++other)
+        if (other == node || copies.everywhere)
+          at(when, [this, other, body = body] { copy_comes(other, {Method::post, "/v1/report", body}); });
+    }
+  const double after = held_reports_.after_win_s;
+  for (auto& body : std::exchange(held_reports_.bodies, {}))
+    at(now_ + after, [this, node, body = std::move(body)] {
+      ++late_reports_;
+      to_node(node, {Method::post, "/v1/report", body}, [](const Response&) {});
+    });
+}
+
 void World::back_at_once(int node) {
   const auto name = node_name(node);
   if (chance(0.5)) {
@@ -1432,6 +1482,7 @@
   for (auto& [node, until] : mute_until_) until = std::min(until, now_);
   for (auto& [host, machine] : machines_) machine.deaf_until = std::min(machine.deaf_until, now_);
   for (auto& [node, freeze] : freezes_) freeze.pending = 0;
+  held_reports_.until = std::min(held_reports_.until, now_);
 }
 
 void World::force_start(const MemberId& member, std::size_t index) {
@@ -1760,8 +1811,34 @@
   }
 }
 
+// Invariant 4, from the other side: what is there and in no record belongs to nobody, is paid for and unused.
+void World::check_owners() {
+  if (unowned_limit_s <= 0 || now_ < next_owner_check_) return;
+  next_owner_check_ = now_ + 1;
+  std::set<std::string> owned;
+  for (auto key = keys_.lower_bound(wire::kMachines);
+       key != keys_.end() && key->first.starts_with(wire::kMachines); ++key)
+    if (key->second.data.is_object())
+      for (const auto& [host, address] :
+           wire::parse_machine_group(key->first.substr(wire::kMachines.size()), key->second.data).hosts)
+        owned.insert(host.value);
+  const bool muted = std::any_of(mute_until_.begin(), mute_until_.end(),
+                                 [this](const auto& mute) { return now_ < mute.second; });
+  const bool trouble = troubled() || muted || leaders() != 1 || now_ < late_until_ ||
+                       now_ < cloud_down_until_ || now_ < held_reports_.until;
+  for (auto& [host, machine] : machines_) {
+    const bool there =
+        machine.up && !machine.dead && now_ >= machine.hung_until && now_ >= machine.deaf_until;
+    if (trouble || !there || owned.contains(host)) machine.owned_at = now_;
+    if (now_ - std::max(machine.owned_at, machine.up_since) <= unowned_limit_s) continue;
+    violate("unowned", host);
+    machine.owned_at = now_;
+  }
+}
+
 void World::check_step() {
   check_replicas();
+  check_owners();
   // Invariant 2.
   if (leaders() > 1) violate("two_leaders", std::to_string(leaders()) + " controllers may give orders");
   if (steps_ % 512 == 0) check_records();
--- a/tests/sim/world.hpp
+++ b/tests/sim/world.hpp
@@ -62,6 +62,9 @@
   double deaf_until = 0;  // its reports arrive, answers and commands do not
   double taken_at = 0;    // 0: not warned
   bool sick = false;
+  double up_since = 0;
+  bool listed = false;  // by the cloud at some time
+  double owned_at = 0;  // when it was last recorded, or could not be
   std::uint64_t tenure = 1;
   std::uint64_t counter = 0;
   std::uint64_t fence = 0;
@@ -184,6 +187,13 @@
   // the next seconds.
   void copies_come(double share, double within_s);
   void copy_comes(int node, const net::Request& report);  // its answer reaches nobody
+  // Copies of so large a part of the reports and direct answers sent from `since` on (also a time to come)
+  // are kept until somebody wins next. Then they come there, or at every controller, within so many seconds:
+  // half of them at once, when the winner may not know of it yet.
+  void copies_at_win(double share, double since, double within_s, bool everywhere);
+  // This part of the reports of the next seconds arrives nowhere until so long after the next win, and then
+  // at the winner, which has acted meanwhile. Their workers have gone on to other controllers by then.
+  void hold_reports(double share, double for_s, double after_win_s);
   // A controller that is back within a second, perhaps twice, while what it sent before may still be on its
   // way.
   void back_at_once(int node);
@@ -251,6 +261,11 @@
   int most_machines = 14;           // that the cloud has
   bool large_offered = true;        // by the cloud, beside the small ones
   double report_delay = 0;          // on the way to the controllers
+  double quick_boots = 0;           // this part of what is rented is up within two seconds
+  // The cloud's list is late by up to twice its lag, may be older than the one before it, and shows what is
+  // gone and as booting what is up.
+  bool lists_lag = false;
+  double unowned_limit_s = 0;  // in which a machine that is there and hears is recorded; 0: not checked
   std::map<std::string, std::uint64_t> lost_starts;  // by machine: orders to start that never arrived
   int deaf_node = -1;                                // its watches of the state service are not answered
   int unread_node = -1;                              // its reads of single keys are refused
@@ -283,6 +298,7 @@
   void tamper(const std::string& key, std::optional<wire::Json> data);
   const std::map<std::string, StateKey>& keys() const { return keys_; }
   std::uint64_t copies() const { return copies_delivered_; }
+  std::uint64_t late_reports() const { return late_reports_; }  // of hold_reports
 
  private:
   friend class SimLoop;
@@ -346,6 +362,8 @@
   net::Response command(SimMachine& machine, const net::Request& request);
 
   void keep_copy(const std::string& body);
+  void won(int node);  // its transaction was carried out
+  wire::Json cloud_list();
   SimMachine& add_machine(const std::string& flavor, const std::string& zone, bool spot);
   void erase_machine(const std::string& host);
 
@@ -371,6 +389,7 @@
   void check_replicas();
   bool troubled() const;
   void check_forgotten();
+  void check_owners();
   void check_step();
   void check_records();
   void check_policy(const wire::Json& body);
@@ -425,6 +444,23 @@
   std::map<std::string, double> gone_machines_;      // and since when
   std::deque<std::pair<double, std::string>> kept_;  // reports and direct answers, when they were sent
   std::uint64_t copies_delivered_ = 0;
+  struct AtWin {  // copies to come
+    double share = 0;
+    double since = 0;
+    double within_s = 0;
+    bool everywhere = false;
+  };
+  std::vector<AtWin> at_win_;
+  struct HeldReports {
+    double share = 0;
+    double until = 0;
+    double after_win_s = 0;
+    std::vector<std::string> bodies;
+  };
+  HeldReports held_reports_;
+  std::uint64_t late_reports_ = 0;
+  std::deque<std::pair<double, SimMachine>> lately_gone_;  // and when
+  double next_owner_check_ = 0;
   int answering_ = -1;  // the controller whose answer a user reads
   std::map<std::string, SimJob> jobs_;
   struct DirectStart {  // on its way to a machine
