No work for machines that reach no controller; the world sees stranded jobs

Cause: a machine whose reports reach no controller answers questions like any other, and each direct answer made it count as heard: it was given tasks that it lost with its lease, again and again. Change: model::Silence tells by reports alone whether a machine is served (comes, overdue, absent). The simulated world gains mute machines, a zone cut off with one controller, a zone without offers, and the rule `stranded`: troubles over, no job waits 90 s beside room that the world counts from its own machines. It also counts preemptions, which no test uses yet. Replicas that span machines are left out of `stranded`. Conclusion: what extends a lease decides what may be started, not what sounds alive.

--- a/src/leader/fleet.cpp
+++ b/src/leader/fleet.cpp
@@ -11,22 +11,10 @@
 using queue::task_s;
 
 namespace {
-constexpr double kLatestReport =
-    1.25;  // report intervals: the protocol's report interval varies by a quarter
-// Beyond the latest report, in paces.
-constexpr double kProbeAfter = 0.45;    // silence after which a machine is asked directly
-constexpr double kSilentAfter = 1.75;   // silence after which it is given up
-constexpr double kServiceProbe = 0.5;   // report intervals after which a machine with services is asked
-constexpr double kServiceSilent = 2;    // paces after which one that does not answer is given up
-constexpr double kServiceAgain = 0.75;  // paces after which one that does not answer is asked again
 constexpr std::uint32_t kProbesUnanswered = 2;  // with at least so many unanswered
 constexpr double kAskedAgain = 1.5;   // paces after which one that this reign never heard is given up
 constexpr double kMassShare = 0.4;    // more machines silent than this: it is our network, not theirs
 constexpr double kWindowShare = 0.5;  // of the time left until a job is due
-// A worker that lost an answer is silent until it has given it up and tried the next controller. One that
-// hears none goes on from one to the next, and a controller that names another to it shows us nothing of it:
-// a machine known for that may be silent for a whole round without being gone.
-constexpr double kNextTryS = 1;
 constexpr double kRounding = 1e-6;
 constexpr double kDemandBoots = 4;   // boot times over which arrivals are averaged
 constexpr double kReservePaces = 2;  // services that come within this find room
@@ -34,12 +22,7 @@
 // Ratios to a type's usual boot time.
 constexpr double kBootLate = 1.6;  // no longer counted as coming: the protocol's usual boot takes up to 1.5
 constexpr double kBootNever = 3;   // given up
-// Boots count as bad from this share of late ones on and as well from half of it down, of at least so many.
-constexpr double kBootsBad = 0.3;
-constexpr double kBootsKnown = 5;
-constexpr double kMemory = 4;  // rounds after which a boot or a reclaim counts a third: a wave passes
-constexpr double kStockoutPause = 0.5;  // in rounds, doubled up to the next
-constexpr double kStockoutMost = 4;
+constexpr double kMemory = 4;      // rounds after which a boot or a reclaim counts a third: a wave passes
 constexpr int kRentalsAtOnce = 8;
 const std::string kSurplus = "more than planned";
 constexpr double kLeastChargeS = 60;        // the protocol: a machine that is deleted costs at least this
@@ -363,14 +346,12 @@
 }
 
 double Leader::rent(const planner::Offer& offer, bool reclaimable, double count, const std::string& zone) {
-  const double now = loop().now();
   count = std::min(count, carried_room());
   if (count < 1) return 0;
   std::vector<std::string> zones;
   for (const auto& each : offer.flavor.rack_rooms) {
     if (!zone.empty() && each != zone) continue;
-    const auto out = stockouts_.find({offer.flavor.name, each, reclaimable});
-    if (out == stockouts_.end() || now >= out->second.until) zones.push_back(each);
+    if (stockouts_.may_ask({offer.flavor.name, each, reclaimable}, loop().now())) zones.push_back(each);
   }
   if (zones.empty()) return 0;
   if (!reclaimable && std::find(zones.begin(), zones.end(), settings_.main_zone) != zones.end()) {
@@ -390,7 +371,7 @@
     // The cloud gives so many a request, and so many requests at a time are enough to see whether it has
     // them. One that had none is asked once, to see whether it has some again: eight refusals for each of its
     // types used up the cloud's requests, and hid from the plan that others must be rented.
-    const bool doubtful = stockouts_.contains({offer.flavor.name, zones[i], reclaimable});
+    const bool doubtful = stockouts_.doubtful({offer.flavor.name, zones[i], reclaimable});
     for (int request = 0; request < (doubtful ? 1 : kRentalsAtOnce) && share >= 1; ++request) {
       const std::string name = rental_prefix() + std::to_string(++rentals_made_);
       auto& rental = rentals_[name];
@@ -435,17 +416,11 @@
   if (result.kind == cloud::Rented::Kind::trouble) return;
   const Pool pool{rental.record.flavor, rental.record.rack_room, rental.record.reclaimable};
   if (result.kind == cloud::Rented::Kind::no_capacity || result.hosts.size() < rental.record.count) {
-    auto& out = stockouts_[pool];
-    // Once for the answers of one burst: doubled by each, the pause was four rounds at once, and rooms that
-    // came free meanwhile were not rented while hundreds of jobs waited (inc-8bf1).
-    if (loop().now() >= out.until) {
-      out.pause = std::min(std::max(kStockoutPause, out.pause * 2), kStockoutMost);
-      out.until = loop().now() + out.pause * settings_.round_s;
-    }
+    stockouts_.note(pool, loop().now(), settings_.round_s);
     log_->info("rental {}: {} of {} to be had", name, result.hosts.size(), rental.record.count);
     plan_soon();
   } else {
-    stockouts_.erase(pool);
+    stockouts_.over(pool);
   }
   if (result.hosts.empty()) {
     rentals_.erase(found);
@@ -517,19 +492,14 @@
 // Counts a boot as in time or late, and tells the operators when boots in general become bad or well again.
 void Leader::note_boot(bool in_time) {
   const double now = loop().now();
-  const double rest = kept(now - std::exchange(boots_.at, now));
-  boots_.in_time = boots_.in_time * rest + (in_time ? 1 : 0);
-  boots_.late = boots_.late * rest + (in_time ? 0 : 1);
-  const double known = boots_.in_time + boots_.late;
-  if (known < kBootsKnown) return;
-  const double share = boots_.late / known;
-  const bool bad = share > (boots_.bad ? kBootsBad / 2 : kBootsBad);
-  if (bad == std::exchange(boots_.bad, bad)) return;
-  if (bad)
+  const auto bad = boots_.note(in_time, kept(now - std::exchange(boots_at_, now)));
+  if (!bad) return;
+  if (*bad)
     log_->warn("boots: {:.0f} % of the last {:.0f} machines are late; others are rented in their place",
-               100 * share, known);
+               100 * boots_.late_share(), boots_.known());
   else
-    log_->info("boots: as usual again, {:.0f} % of the last {:.0f} machines are late", 100 * share, known);
+    log_->info("boots: as usual again, {:.0f} % of the last {:.0f} machines are late",
+               100 * boots_.late_share(), boots_.known());
 }
 
 void Leader::watch_boot(Machine& machine) {
@@ -543,31 +513,43 @@
   if (booting > kBootNever * boot) release(machine, "never came up");
 }
 
+model::Silence Leader::silence() const {
+  return model::Silence{
+      {net::kWorkerWaitS, settings_.report_s, settings_.pace_s, settings_.lease_s, settings_.controllers}};
+}
+
+void Leader::note_reporting(Machine& machine) {
+  const auto before = machine.reporting;
+  machine.reporting = silence().reporting(unreported(machine));
+  if (machine.reporting == before) return;
+  fleet_.refresh(machine);
+  // It has had no chance to be of use, as one that hears again.
+  if (machine.reporting == model::Reporting::comes && machine.binds.empty())
+    machine.idle_since = loop().now();
+  place_soon();
+  plan_soon();
+}
+
+double Leader::unreported(const Machine& machine) const {
+  return loop().now() - std::max(machine.reported_at, reign_since_);
+}
+
 void Leader::watch(Machine& machine) {
   const double now = loop().now();
   if (!machine.up) return watch_boot(machine);
-  const double latest = kLatestReport * settings_.report_s;
-  const double probe = latest + kProbeAfter * settings_.pace_s;
-  const double silent = latest + kSilentAfter * settings_.pace_s;
   const double silence = now - machine.last_contact;
   // Services are missed at once: their machines are asked between two reports, and given up sooner.
   const bool watched = machine.service_cores > 0;
-  const double ask_after = watched ? std::min(probe, kServiceProbe * settings_.report_s) : probe;
+  const bool unanswered = machine.probes_unanswered > 0;
   const bool hears = machine.hearing.takes_tasks();
-  const double lost_answer = net::kWorkerWaitS + 2 * kNextTryS;
-  const double round =
-      static_cast<double>(settings_.controllers) * (net::kWorkerWaitS + kNextTryS) + settings_.report_s;
-  const double walks = hears ? lost_answer : std::min(round, settings_.lease_s);
-  const double silent_after =
-      std::max(walks, watched ? std::min(silent, kServiceSilent * settings_.pace_s) : silent);
-  const double again =
-      watched && machine.probes_unanswered > 0 ? kServiceAgain * settings_.pace_s : settings_.pace_s;
-  const bool missed = silence > (hears ? ask_after : std::max(probe, walks));
-  if (machine.hearing.ask_due(now) || (missed && now - machine.last_probe > again)) send_direct(machine, {});
-  if (!machine.quiet && (silence > probe || (watched && machine.probes_unanswered > 0))) {
+  const auto limits = this->silence().limits({watched, hears, unanswered});
+  if (machine.hearing.ask_due(now) || (silence > limits.ask && now - machine.last_probe > limits.again))
+    send_direct(machine, {});
+  if (!machine.quiet && (silence > limits.quiet || (watched && unanswered))) {
     machine.quiet = true;
     fleet_.refresh(machine);
   }
+  note_reporting(machine);
   // Invariant 5: no earlier leader answered after this reign began, so the lease has run out by now.
   const double last_renewal = std::max(machine.last_answered, reign_since_);
   if (now > last_renewal + settings_.lease_s * model::kDriftAllowance + model::kAllowanceS) {
@@ -599,20 +581,21 @@
   // One that this reign never heard holds up others' tasks: it is waited for less long.
   const bool given_up =
       machine.probes_unanswered >= kProbesUnanswered &&
-      (machine.confirmed ? silence > silent_after : now - reign_since_ > kAskedAgain * settings_.pace_s);
+      (machine.confirmed ? silence > limits.gone : now - reign_since_ > kAskedAgain * settings_.pace_s);
   if (!machine.confirmed && hears && machine.probes_unanswered > 0 &&
       now - machine.last_probe > kUnheardPatience * settings_.pace_s)
     send_direct(machine, {});
   if (!given_up) {
     // What it ran is over with its session; as long as something is bound there it hears after all.
-    if (machine.hearing.give_up(now, hearing_times()) && machine.binds.empty() && machine.confirmed &&
-        !many_unheard(machine))
-      release(machine, "deaf");
+    const bool deaf = machine.hearing.give_up(now, hearing_times());
+    const bool mute = this->silence().give_up(unreported(machine));
+    if ((deaf || mute) && machine.binds.empty() && machine.confirmed && !many_unheard(machine))
+      release(machine, deaf ? "deaf" : "mute");
     return;
   }
   // It may be us: another machine must have been heard directly since, or be all that there is.
   if (machine.confirmed && fleet_.total().up > 1 &&
-      heard_directly_ < machine.last_contact + silent_after / 2 && silence < settings_.lease_s)
+      heard_directly_ < machine.last_contact + limits.gone / 2 && silence < settings_.lease_s)
     return;
   // Nor while we are in doubt whether anybody hears us.
   if (machine.confirmed && sample_since_ >= 0 && silence < settings_.lease_s) return;
--- a/src/leader/leader.hpp
+++ b/src/leader/leader.hpp
@@ -15,9 +15,12 @@
 #include "calendar/outlook.hpp"
 #include "cloud/cloud.hpp"
 #include "leader/strangers.hpp"
+#include "model/boots.hpp"
 #include "model/cancel_budget.hpp"
 #include "model/fleet.hpp"
 #include "model/job.hpp"
+#include "model/silence.hpp"
+#include "model/stockouts.hpp"
 #include "model/waits.hpp"
 #include "net/http.hpp"
 #include "net/reports.hpp"
@@ -160,16 +163,6 @@
     bool asking = false;
     double retry_at = 0;
   };
-  struct Stockout {
-    double until = 0;
-    double pause = 0;
-  };
-  struct Boots {  // of late
-    double in_time = 0;
-    double late = 0;
-    double at = 0;  // steady clock: when these were counted
-    bool bad = false;
-  };
   struct Reclaims {
     double count = 0;
     double machine_s = 0;
@@ -341,6 +334,9 @@
   void settle_rentals();
   void watch_machines(double share);
   void watch(model::Machine& machine);
+  model::Silence silence() const;
+  void note_reporting(model::Machine& machine);
+  double unreported(const model::Machine& machine) const;  // seconds
   bool many_unheard(const model::Machine& machine) const;
   void watch_boot(model::Machine& machine);
   void note_boot(bool in_time);
@@ -425,9 +421,10 @@
   double next_sample_ = 0;
   double next_unanswered_ = 0;
   std::map<std::string, std::uint64_t> tally_;  // of what happened since the last summary in the log
-  std::map<Pool, Stockout> stockouts_;
+  model::Stockouts stockouts_;
   std::map<std::string, Reclaims> reclaims_;
-  Boots boots_;
+  model::Boots boots_;
+  double boots_at_ = 0;  // steady clock: when these were counted
   Batch intents_;
   std::set<std::pair<double, std::string>> due_;  // the keys of intents_ by when they are due
   std::size_t value_bytes_ = 0;                   // that a value may take, less once one was refused
--- a/src/leader/reports.cpp
+++ b/src/leader/reports.cpp
@@ -80,6 +80,8 @@
   if (!brief) came_up(*machine, report, true);
   const bool news = brief || apply(*machine, report, &message.by);
   machine->reported = report.counter;
+  machine->reported_at = loop().now();
+  note_reporting(*machine);
   // An answer with a valid fence extends the worker's lease whatever it holds: also when a direct answer has
   // overtaken the report. Else its tasks would be started elsewhere while they still run (invariant 6).
   machine->last_answered = loop().now();
@@ -109,7 +111,7 @@
     fleet_.refresh(machine);
   }
   machine.reported = report.counter;
-  machine.last_contact = now;
+  machine.last_contact = machine.reported_at = now;
   machine.last_answered = now;  // it may be true all the same (invariant 6)
   reply(granted(stops_for(report, jobs_)));
 }
@@ -195,7 +197,7 @@
     machine.flavor = report.flavor;
     machine.rack_room = report.rack_room;
     machine.reclaimable = report.reclaimable;
-    machine.idle_since = loop().now();
+    machine.idle_since = machine.reported_at = loop().now();
     set_size(machine);
     if (expected && !machine.late) note_boot(true);
     ++tally_["machines came up"];
--- a/src/model/fleet.cpp
+++ b/src/model/fleet.cpp
@@ -30,13 +30,19 @@
   const bool stays = !machine.draining && !machine.releasing;
   part.up = machine.up ? 1 : 0;
   part.quiet = machine.up && machine.quiet ? 1 : 0;
-  part.deaf = machine.up && !machine.quiet && !machine.hearing.takes_tasks() ? 1 : 0;
+  part.deaf = machine.up && !machine.quiet &&
+                      (machine.reporting != Reporting::comes || !machine.hearing.takes_tasks())
+                  ? 1
+                  : 0;
   part.coming = !machine.up && !machine.late && stays ? 1 : 0;
   if (machine.inherited && !machine.confirmed) {
     part.unconfirmed = 1;
     part.unconfirmed_size = machine.size;
   }
-  part.cores = stays && !machine.hearing.out() && (machine.up || !machine.late) ? machine.size.cores : 0;
+  part.cores = stays && !machine.hearing.out() && machine.reporting != Reporting::absent &&
+                       (machine.up || !machine.late)
+                   ? machine.size.cores
+                   : 0;
   part.free_cores = machine.takes_tasks() && !machine.quiet ? machine.room().cores : 0;
   // More may be kept than is free yet.
   if (machine.kept.cores > 0) part.free_cores = std::max(0.0, part.free_cores);
--- a/src/model/machine.hpp
+++ b/src/model/machine.hpp
@@ -10,6 +10,7 @@
 #include <utility>
 
 #include "model/hearing.hpp"
+#include "model/silence.hpp"
 #include "wire/records.hpp"
 
 namespace bankhill::model {
@@ -94,6 +95,7 @@
   bool release_sent = false;
   bool late = false;   // booting for so long that it is no longer counted on
   bool quiet = false;  // not heard for longer than reports take
+  Reporting reporting = Reporting::comes;
   std::string drain_reason;
   std::string group;  // where its record is kept
 
@@ -106,7 +108,8 @@
   double last_contact = 0;   // last new report or direct answer
   double last_answered = 0;  // last report answered: its lease cannot reach beyond lease_s from here
   double last_report = 0;
-  bool regular = true;  // its last report came in its turn, not for a change
+  double reported_at = 0;  // when any report came, one that is no news too
+  bool regular = true;     // its last report came in its turn, not for a change
   double last_probe = 0;
   std::uint32_t probes_unanswered = 0;  // in a row
   double doubt_at = 0;
@@ -141,7 +144,8 @@
     return {tenure, std::max(counter, reported)};
   }
   bool takes_tasks() const {
-    return up && recorded && confirmed && !lost && !draining && !releasing && hearing.takes_tasks();
+    return up && recorded && confirmed && !lost && !draining && !releasing && reporting == Reporting::comes &&
+           hearing.takes_tasks();
   }
 };
 
--- /dev/null
+++ b/src/model/silence.cpp
@@ -0,0 +1,57 @@
+#include "model/silence.hpp"
+
+#include <algorithm>
+
+#include "model/cancel_budget.hpp"
+
+namespace bankhill::model {
+
+namespace {
+constexpr double kLatestReport =
+    1.25;  // report intervals: the protocol's report interval varies by a quarter
+// Beyond the latest report, in paces.
+constexpr double kProbeAfter = 0.45;    // silence after which a machine is asked directly
+constexpr double kSilentAfter = 1.75;   // silence after which it is given up
+constexpr double kServiceProbe = 0.5;   // report intervals after which a machine with services is asked
+constexpr double kServiceSilent = 2;    // paces after which one that does not answer is given up
+constexpr double kServiceAgain = 0.75;  // paces after which one that does not answer is asked again
+// A worker that lost an answer is silent until it has given it up and tried the next controller. One that
+// hears none goes on from one to the next, and a controller that names another to it shows us nothing of it:
+// a machine known for that may be silent for a whole round without being gone.
+constexpr double kNextTryS = 1;
+constexpr double kGiveUpLeases = 2;  // its tasks are over for a lease by then
+}  // namespace
+
+Silence::Limits Silence::limits(const Machine& machine) const {
+  const double latest = kLatestReport * times_.report_s;
+  const double probe = latest + kProbeAfter * times_.pace_s;
+  const double silent = latest + kSilentAfter * times_.pace_s;
+  const double lost_answer = times_.wait_s + 2 * kNextTryS;
+  const double walks = machine.hears ? lost_answer : std::min(round_s(), times_.lease_s);
+  Limits result;
+  result.quiet = probe;
+  result.ask = !machine.hears    ? std::max(probe, walks)
+               : machine.watched ? std::min(probe, kServiceProbe * times_.report_s)
+                                 : probe;
+  result.again = machine.watched && machine.unanswered ? kServiceAgain * times_.pace_s : times_.pace_s;
+  result.gone = std::max(walks, machine.watched ? std::min(silent, kServiceSilent * times_.pace_s) : silent);
+  return result;
+}
+
+Reporting Silence::reporting(double unreported_s) const {
+  // One lost answer is no sign of it, nor is a round of the controllers, as long as half a lease is left.
+  const double lost_answer = kLatestReport * times_.report_s + times_.wait_s + 2 * kNextTryS;
+  if (unreported_s <= std::max(lost_answer, std::min(round_s(), times_.lease_s / 2))) return Reporting::comes;
+  return unreported_s > times_.lease_s * kDriftAllowance + kAllowanceS ? Reporting::absent
+                                                                       : Reporting::overdue;
+}
+
+double Silence::round_s() const {
+  return static_cast<double>(times_.controllers) * (times_.wait_s + kNextTryS) + times_.report_s;
+}
+
+bool Silence::give_up(double unreported_s) const {
+  return reporting(unreported_s) == Reporting::absent && unreported_s > kGiveUpLeases * times_.lease_s;
+}
+
+}  // namespace bankhill::model
--- /dev/null
+++ b/tests/meetings_zones_test.cpp
@@ -0,0 +1,193 @@
+// Jobs that wait beside room, machines that reach no controller, zones cut off and short of machines
+// (docs/MEETINGS.md).
+#include <gtest/gtest.h>
+
+#include <algorithm>
+#include <array>
+#include <tuple>
+
+#include "sim/jobs.hpp"
+
+namespace bankhill::sim {
+namespace {
+
+bool caught(World& world, const std::string& rule) {
+  const bool seen = std::any_of(world.broken().begin(), world.broken().end(),
+                                [&](const std::string& item) { return item.starts_with(rule); });
+  if (seen) world.broken().clear();
+  return seen;
+}
+
+int on_machines(World& world, const std::string& uid, const std::string& zone = "") {
+  int count = 0;
+  for (const auto& [host, machine] : world.machines())
+    for (const auto& [member, task] : machine.tasks)
+      count += member.job.value == uid && task.phase == wire::MemberPhase::running &&
+               (zone.empty() || machine.zone == zone);
+  return count;
+}
+
+// ---- the rule `stranded`
+
+// The leader's key is held by somebody who does nothing: controllers and machines are well, and nobody
+// orders.
+TEST(Checker, SeesAJobThatWaitsBesideRoom) {
+  World world(9);
+  world.run(5);
+  const auto uid = world.submit(kept_batch(2, 1, 400));
+  world.run(60);
+  ASSERT_TRUE(world.broken().empty()) << listing(world.broken());
+  ASSERT_EQ(on_machines(world, uid), 2);
+  world.tamper(wire::kLeaderKey, wire::Json::object());
+  const double lost = world.now();
+  world.run(lost + 85);
+  EXPECT_FALSE(caught(world, "stranded"));
+  world.run(lost + 130);
+  EXPECT_TRUE(caught(world, "stranded"));
+}
+
+// ---- mute machines
+
+constexpr Timing kOperators{10, 44, 69};  // the operators' ratios
+
+struct MuteCase {
+  double share;
+  const char* zone;
+};
+
+// Workers reach no controller for some leases, direct commands reach them: an answer to a question extends no
+// lease, so their tasks end with it and run elsewhere; what is cancelled is stopped there at once; nothing is
+// placed where it would be lost; afterwards all is used again.
+class Mute : public testing::TestWithParam<std::tuple<int, int, bool>> {};
+
+TEST_P(Mute, MachinesAreServedStraightAndUsedAgain) {
+  const auto [controllers, kind, slow] = GetParam();
+  const MuteCase each =
+      std::array{MuteCase{0.4, ""}, MuteCase{1, "zb"}, MuteCase{1, ""}}.at(static_cast<std::size_t>(kind));
+  const Timing timing = slow ? kOperators : Timing{};
+  World world(static_cast<std::uint64_t>(10 * controllers + kind), controllers, timing);
+  world.large_offered = false;
+  world.run(5);
+  std::vector<std::string> cancelled;
+  for (int i = 0; i < 3; ++i) cancelled.push_back(world.submit(kept_batch(4, 1, 900)));
+  const auto service = world.submit(kept_service(3, 1));
+  auto in_zone = kept_batch(4, 1, 30);
+  in_zone.spec.rack_room = "zb";
+  world.submit(in_zone);
+  world.run(70);
+  ASSERT_EQ(world.whole(service), 3U);
+  const double begin = world.now();
+  world.mute_machines(each.share, 3 * timing.lease_s, each.zone);
+  std::vector<std::string> short_ones;
+  for (int i = 0; i < 12; ++i)
+    world.at(begin + 1 + i * timing.lease_s / 4,
+             [&world, &short_ones] { short_ones.push_back(world.submit(kept_batch(3, 1, 6))); });
+  // One is cancelled at once, one when leases are about to end, one when they have ended.
+  const double ask[] = {1, 0.8 * timing.lease_s, 1.7 * timing.lease_s};
+  for (std::size_t i = 0; i < cancelled.size(); ++i)
+    world.at(begin + ask[i], [&world, uid = cancelled[i]] { world.cancel(uid); });
+  world.run(begin + 1 + 2.5 * timing.report_s);
+  EXPECT_GT(world.jobs().at(cancelled[0]).told_cancelled, 0);
+  EXPECT_EQ(on_machines(world, cancelled[0]), 0) << "not stopped straight";
+  world.run(begin + 3 * timing.lease_s);
+  EXPECT_TRUE(world.broken().empty()) << listing(world.broken());
+  EXPECT_EQ(world.starts_on_mute, 0U);
+  if (each.share < 1 || *each.zone != 0) {
+    EXPECT_EQ(world.whole(service), 3U);
+  }
+  world.run(begin + 3 * timing.lease_s + 160);
+  EXPECT_TRUE(world.broken().empty()) << listing(world.broken());
+  EXPECT_EQ(world.whole(service), 3U);
+  for (const auto& [uid, job] : world.jobs())
+    if (job.spec.shape == wire::Shape::sweep && !job.cancel_asked) {
+      EXPECT_TRUE(job.told_done) << uid;
+    }
+}
+
+INSTANTIATE_TEST_SUITE_P(Seeds, Mute,
+                         testing::Combine(testing::Values(3, 5), testing::Range(0, 3), testing::Bool()));
+
+// ---- a zone alone
+
+void expect_all_done(World& world) {
+  EXPECT_TRUE(world.broken().empty()) << listing(world.broken());
+  EXPECT_EQ(world.leaders(), 1);
+  for (const auto& [uid, job] : world.jobs()) {
+    if (job.cancel_asked) {
+      EXPECT_TRUE(job.told_cancelled > 0 || job.told_done) << uid << " neither cancelled nor done";
+    } else if (job.spec.shape == wire::Shape::sweep) {
+      EXPECT_TRUE(job.told_done) << uid << " " << job.completed.size() << " of " << job.spec.members;
+    } else {
+      EXPECT_EQ(world.whole(uid), job.spec.members) << uid << " is not back";
+    }
+  }
+}
+
+SimJob bound_to(const std::string& zone, SimJob job) {
+  job.spec.rack_room = zone;
+  return job;
+}
+SimJob together(SimJob job) {
+  job.spec.together = true;
+  return job;
+}
+SimJob scattered(SimJob job) {
+  job.spec.scatter = true;
+  return job;
+}
+
+// For longer than a lease a zone's workers and one controller, which leads or does not, reach only each
+// other.
+class CutZone : public testing::TestWithParam<std::tuple<int, bool, bool, bool>> {};
+
+TEST_P(CutZone, WithAControllerEndsNothingTwiceAndStrandsNothing) {
+  const auto [controllers, leads, hold, slow] = GetParam();
+  const Timing timing = slow ? kOperators : Timing{};
+  World world(static_cast<std::uint64_t>(20 * controllers + 4 * leads + 2 * hold + slow), controllers,
+              timing);
+  world.large_offered = false;
+  world.run(5);
+  std::vector<std::string> cancelled;
+  for (const char* zone : {"za", "zb"})
+    cancelled.push_back(world.submit(bound_to(zone, kept_batch(3, 1, 900))));
+  cancelled.push_back(world.submit(scattered(kept_batch(4, 1, 900))));
+  for (const char* zone : {"za", "zb"}) {
+    world.submit(bound_to(zone, kept_batch(4, 1, 2.2 * timing.lease_s)));
+    world.submit(bound_to(zone, kept_service(1, 1)));
+  }
+  world.submit(together(kept_batch(4, 1, 2.2 * timing.lease_s)));
+  world.submit(kept_service(2, 1));
+  world.run(70);
+  const int leader = world.leader();
+  ASSERT_GE(leader, 0);
+  const int inside = leads ? leader : (leader + 1) % controllers;
+  const std::string zone = inside % 2 == 0 ? "za" : "zb";
+  const double begin = world.now();
+  const double length = 2.5 * timing.lease_s;
+  world.cut_zone(zone, inside, length, hold);
+  // Before the leases are over, when they are about to be, and after.
+  const double ask[] = {0.5, 0.9 * timing.lease_s, 1.6 * timing.lease_s};
+  for (std::size_t i = 0; i < cancelled.size(); ++i)
+    world.at(begin + ask[i], [&world, uid = cancelled[i]] { world.cancel(uid); });
+  for (int i = 0; i < 8; ++i)
+    world.at(begin + 2 + i * length / 8, [&world, i, zone] {
+      world.submit(i % 2 == 0 ? kept_batch(2, 1, 5) : bound_to(zone, kept_batch(2, 1, 5)));
+    });
+  world.run(begin + length);
+  EXPECT_TRUE(world.broken().empty()) << listing(world.broken());
+  // Work that may be anywhere went on outside.
+  int outside = 0;
+  for (const auto& [uid, job] : world.jobs())
+    outside +=
+        job.created > begin && job.created < begin + length / 2 && !job.spec.rack_room && job.told_done;
+  EXPECT_GE(outside, 1);
+  world.run(begin + length + 100 + 4 * timing.lease_s);
+  expect_all_done(world);
+}
+
+INSTANTIATE_TEST_SUITE_P(Seeds, CutZone,
+                         testing::Combine(testing::Values(3, 5), testing::Bool(), testing::Bool(),
+                                          testing::Bool()));
+
+}  // namespace
+}  // namespace bankhill::sim
--- a/tests/sim/world.cpp
+++ b/tests/sim/world.cpp
@@ -23,6 +23,10 @@
 constexpr double kCopyLeases = 6;     // copies of reports are kept for so long
 constexpr double kPhantomLeases = 3;  // after its end a machine may still be recorded, behind an outage
 constexpr double kForgottenS = 75;    // the operators' rule
+constexpr double kStrandedS = 90;     // likewise
+constexpr double kStrandedLook = 1;   // seconds between two looks for it
+constexpr double kMuteLeases = 0.6;   // reports that fail to come for so long show a mute machine
+constexpr double kNoticedLate = 0.5;  // by which a message is late before its link counts as slow
 constexpr double kNextWriteRps = 60;
 constexpr double kNextValueKb = 2;
 constexpr std::size_t kNextTxnOps = 8;
@@ -392,7 +396,14 @@
   foreign_ = false;
 }
 
+bool World::within_cut_zone(const std::string& end) const {
+  if (end == node_name(zone_cut_.node) || end == "workers-" + zone_cut_.zone) return true;
+  const auto machine = machines_.find(end);
+  return machine != machines_.end() && machine->second.zone == zone_cut_.zone;
+}
+
 const World::Link* World::link(const std::string& a, const std::string& b) const {
+  if (now_ < zone_cut_.link.until && within_cut_zone(a) != within_cut_zone(b)) return &zone_cut_.link;
   const auto found = links_.find(std::minmax(a, b));
   return found != links_.end() && now_ < found->second.until ? &found->second : nullptr;
 }
@@ -400,7 +411,11 @@
 void World::carry(const std::string& from, const std::string& to, double latency,
                   std::function<void()> deliver, const std::string& body) {
   latency += out_delay(from);
-  if (held_up) latency += held_up(from, to, body);
+  if (held_up) {
+    const double late = held_up(from, to, body);
+    if (late > kNoticedLate) disturbed_at_ = std::max(disturbed_at_, now_ + late);
+    latency += late;
+  }
   const auto* cut = link(from, to);
   if (cut == nullptr) return at(now_ + latency, std::move(deliver));
   // Held packets come when the cut is over, even if the sender has given up.
@@ -580,6 +595,7 @@
   if (!any && !late) return false;
   if (!late && chance(0.5)) return true;
   const double delay = late ? uniform(2, 12) : chance(0.5) ? 0.0 : uniform(0.5, 15);
+  if (late) disturbed_at_ = std::max(disturbed_at_, now_ + delay);
   at(now_ + delay, [this, body = std::move(body)] { late_executed += commit(body).status == 200 ? 1U : 0U; });
   return true;
 }
@@ -684,6 +700,9 @@
           std::count_if(machines_.begin(), machines_.end(), [](const auto& m) { return !m.second.dead; });
       int count = std::min<int>(body["count"].get<int>(), most_machines - static_cast<int>(have));
       if (spot && now_ < no_spot_until_) count = 0;
+      if (const auto out = zone_out_until_.find(body["rack_room"].get<std::string>());
+          out != zone_out_until_.end() && now_ < out->second)
+        count = 0;
       if (count <= 0) return {503, R"({"error":"no capacity"})", std::nullopt};
       for (int i = 0; i < count; ++i) {
         const auto& host =
@@ -795,7 +814,8 @@
   const int node = machine.node;
   const auto zone = "workers-" + machine.zone;
   Request request{Method::post, "/v1/report", to_json(report_of(machine)).dump()};
-  keep_copy(request.body);
+  const bool mute = now_ < machine.mute_until;
+  if (!mute) keep_copy(request.body);
   if (std::any_of(machine.tasks.begin(), machine.tasks.end(),
                   [](const auto& task) { return task.second.phase == MemberPhase::exited; }))
     tell(Moment::exited, node);
@@ -847,7 +867,7 @@
       carry(node_name(node), zone, 0.002, back, response.body);
     });
   };
-  carry(zone, node_name(node), 0.002 + report_delay, arrives, request.body);
+  if (!mute) carry(zone, node_name(node), 0.002 + report_delay, arrives, request.body);
 }
 
 bool World::unheard(int node, const std::string& host, const std::string& body) {
@@ -888,6 +908,7 @@
           job != jobs_.end() && job->second.spec.shape == wire::Shape::daemon && !job->second.cancel_asked)
         ++service_stops;
       if (found->second.phase == MemberPhase::running) check_replica_stop(order.member);
+      note_stop(machine, order.member);
       found->second.phase = MemberPhase::exited;
       found->second.cause = ExitCause::halted;
       want_report(machine);
@@ -920,6 +941,9 @@
   }
   machine.tasks[member] = task;
   if (task.phase == MemberPhase::exited) return;
+  note_room_used(machine, member);
+  if (now_ < machine.mute_until && now_ - machine.mute_since > kMuteLeases * settings_.lease_s)
+    ++starts_on_mute;
   const bool cached = !machine.images.insert(job->second.spec.bundle).second;
   at(now_ + (cached ? 0.05 : 1.5),
      [this, host = machine.host, member, try_no] { image_ready(host, member, try_no.value); });
@@ -941,6 +965,7 @@
   task->second.phase = MemberPhase::running;
   ++starts_;
   if (job.begun == 0) job.begun = now_;
+  ++job.starts;
   log_->debug("{} starts on {}", member.text(), host);
   check_start(machine, member);
   want_report(machine);
@@ -1242,6 +1267,10 @@
   for (auto& [host, machine] : machines_)
     if (machine.up && chance(share)) machine.dead = true;
 }
+void World::kill_zone(const std::string& zone, double share) {
+  for (auto& [host, machine] : machines_)
+    if (machine.up && machine.zone == zone && chance(share)) machine.dead = true;
+}
 void World::hang_machines(double share, double seconds) {
   for (auto& [host, machine] : machines_)
     if (machine.up && !machine.dead && chance(share)) machine.hung_until = now_ + seconds;
@@ -1258,6 +1287,11 @@
     if (machine.up && !machine.dead && (zone.empty() || machine.zone == zone) && chance(share))
       machine.deaf_until = now_ + seconds;
 }
+void World::mute_machines(double share, double seconds, const std::string& zone) {
+  for (auto& [host, machine] : machines_)
+    if (machine.up && !machine.dead && (zone.empty() || machine.zone == zone) && chance(share))
+      std::tie(machine.mute_since, machine.mute_until) = std::pair(now_, now_ + seconds);
+}
 void World::sicken_machine() {
   for (auto& [host, machine] : machines_)
     if (machine.up && !machine.dead && chance(0.3)) {
@@ -1288,6 +1322,7 @@
 
 void World::copy_comes(int node, const Request& report) {
   ++copies_delivered_;
+  disturbed_at_ = std::max(disturbed_at_, now_);
   to_node(node, report, [](const Response&) {});
 }
 
@@ -1306,6 +1341,7 @@
 
 void World::restart_machine(const std::string& host, double away_s, Back how) {
   auto& machine = machines_.at(host);
+  disturbed_at_ = std::max(disturbed_at_, now_ + away_s);
   machine.up = machine.in_flight = false;
   machine.tasks.clear();
   ++machine.exchange;
@@ -1422,6 +1458,8 @@
 }
 
 void World::heal() {
+  zone_cut_.link.until = std::min(zone_cut_.link.until, now_);
+  for (auto& [zone, until] : zone_out_until_) until = std::min(until, now_);
   for (auto& [ends, cut] : links_) cut.until = std::min(cut.until, now_);
   state_down_until_ = std::min(state_down_until_, now_);
   cloud_down_until_ = std::min(cloud_down_until_, now_);
@@ -1431,6 +1469,7 @@
   slow_until_ = std::min(slow_until_, now_);
   for (auto& [node, until] : mute_until_) until = std::min(until, now_);
   for (auto& [host, machine] : machines_) machine.deaf_until = std::min(machine.deaf_until, now_);
+  for (auto& [host, machine] : machines_) machine.mute_until = std::min(machine.mute_until, now_);
   for (auto& [node, freeze] : freezes_) freeze.pending = 0;
 }
 
@@ -1730,8 +1769,8 @@
 
 // What may keep a user from an answer, whatever becomes of machines and cloud.
 bool World::troubled() const {
-  return now_ < state_down_until_ || now_ < slow_until_ || deaf_node >= 0 || unread_node >= 0 ||
-         !unread.empty() || no_puts ||
+  return now_ < state_down_until_ || now_ < slow_until_ || now_ < zone_cut_.link.until || deaf_node >= 0 ||
+         unread_node >= 0 || !unread.empty() || no_puts ||
          std::any_of(refused_until_.begin(), refused_until_.end(),
                      [this](const auto& refused) { return now_ < refused.second; }) ||
          std::any_of(links_.begin(), links_.end(),
@@ -1760,8 +1799,134 @@
   }
 }
 
+// Whether anything is out of order, machines included.
+bool World::disturbed() const {
+  return troubled() || now_ < cloud_down_until_ || now_ < no_spot_until_ || now_ < late_until_ ||
+         std::any_of(zone_out_until_.begin(), zone_out_until_.end(),
+                     [this](const auto& out) { return now_ < out.second; }) ||
+         at_limit > 0 || report_delay > 0 || !untaken.empty() || state_was_down_ ||
+         std::any_of(mute_until_.begin(), mute_until_.end(),
+                     [this](const auto& mute) { return now_ < mute.second; }) ||
+         std::any_of(machines_.begin(), machines_.end(), [this](const auto& entry) {
+           const auto& machine = entry.second;
+           return !machine.dead && (machine.taken_at > 0 || now_ < machine.hung_until ||
+                                    now_ < machine.deaf_until || now_ < machine.mute_until);
+         });
+}
+
+// Whether a machine that is well and that the job may use has room for one more of its tasks.
+bool World::room_beside(const SimJob& job, const std::map<std::string, double>& team_cores) const {
+  const auto& spec = job.spec;
+  const auto team = std::find_if(settings_.teams.begin(), settings_.teams.end(),
+                                 [&](const auto& each) { return each.name == spec.owner; });
+  const auto used = team_cores.find(spec.owner);
+  if (team == settings_.teams.end() ||
+      (used == team_cores.end() ? 0 : used->second) + spec.need.cores > team->limit.cores + 1e-6)
+    return false;
+  std::map<std::string, std::uint32_t> zones;
+  if (spec.together || spec.scatter)
+    for (const auto& [host, machine] : machines_)
+      for (const auto& [member, task] : machine.tasks)
+        if (member.job == spec.uid && task.phase != MemberPhase::exited) ++zones[machine.zone];
+  return std::any_of(machines_.begin(), machines_.end(), [&](const auto& entry) {
+    const auto& machine = entry.second;
+    if (!machine.up || machine.dead || machine.sick || machine.taken_at > 0) return false;
+    if (spec.rack_room && *spec.rack_room != machine.zone) return false;
+    if (machine.spot && !spec.reclaimable) return false;
+    if (spec.flavors &&
+        std::find(spec.flavors->begin(), spec.flavors->end(), machine.flavor) == spec.flavors->end())
+      return false;
+    const auto here = zones.contains(machine.zone) ? zones.at(machine.zone) : 0U;
+    if (spec.together && !zones.empty() && here == 0) return false;
+    if (spec.scatter && here >= (spec.members + 1) / 2) return false;
+    wire::Amounts want = spec.need;
+    for (const auto& [member, task] : machine.tasks)
+      if (task.phase != MemberPhase::exited) want += jobs_.at(member.job.value).spec.need;
+    return want.fits(size_of(machine.flavor));
+  });
+}
+
+// The operators' rule: all troubles over, no job waits beside room that it may use. Counted from the world's
+// machines, whatever the leader makes of them. Of replicas that span machines it knows nothing.
+void World::check_stranded() {
+  if (now_ < next_stranded_check_) return;
+  next_stranded_check_ = now_ + kStrandedLook;
+  if (disturbed()) disturbed_at_ = std::max(disturbed_at_, now_);
+  // A machine that died or that tasks fail on may be there for good: it is the moment that counts.
+  for (const auto& [host, machine] : machines_)
+    if ((machine.dead || machine.sick) && failed_machines_.insert(host).second)
+      disturbed_at_ = std::max(disturbed_at_, now_);
+  if (now_ < disturbed_at_ + kStrandedLook) return beside_room_.clear();
+  std::map<std::string, double> team_cores;
+  std::map<std::string, std::uint32_t> on_machines;  // by job: tasks that are neither over nor waiting
+  for (const auto& [host, machine] : machines_)
+    for (const auto& [member, task] : machine.tasks) {
+      const auto& job = jobs_.at(member.job.value);
+      if (task.phase == MemberPhase::exited) continue;
+      team_cores[job.spec.owner] += job.spec.need.cores;
+      if (!job.completed.contains(member.index)) ++on_machines[member.job.value];
+    }
+  for (const auto& [uid, job] : jobs_) {
+    const bool open = job.accepted && !job.told_done && job.told_cancelled == 0 && !job.broken &&
+                      span({job.spec.uid, 0}) == 1 && !cancel_asked(job);
+    const auto there = on_machines.contains(uid) ? on_machines.at(uid) : 0U;
+    const bool waits =
+        open && job.completed.size() + there < job.spec.members &&
+        std::all_of(job.spec.waits_on.begin(), job.spec.waits_on.end(), [this](const wire::JobId& need) {
+          const auto record = keys_.find(wire::job_key(need));
+          return record != keys_.end() && record->second.data.is_object() &&
+                 record->second.data["phase"] == "done";
+        });
+    if (!waits || !room_beside(job, team_cores)) {
+      beside_room_.erase(uid);
+      continue;
+    }
+    auto& waiting = beside_room_.try_emplace(uid, Waits{now_, job.starts}).first->second;
+    if (waiting.starts != job.starts) waiting = {now_, job.starts};
+    waited_most_s = std::max(waited_most_s, now_ - waiting.since);
+    if (now_ - waiting.since <= kStrandedS) continue;
+    violate("stranded", uid + ": " + std::to_string(job.completed.size()) + " done and " +
+                            std::to_string(there) + " on machines of " + std::to_string(job.spec.members));
+    beside_room_.erase(uid);
+  }
+}
+
+void World::note_stop(const SimMachine& machine, const MemberId& member) {
+  const auto job = jobs_.find(member.job.value);
+  if (job == jobs_.end() || cancel_asked(job->second) || job->second.completed.contains(member.index)) return;
+  // Not where the task runs elsewhere too, or goes with its machine.
+  if (machine.taken_at > 0 || machine.sick || span(member) > 1) return;
+  ++made_room;
+  room_made_.push_back({machine.host, member, now_});
+}
+
+void World::note_room_used(const SimMachine& machine, const MemberId& member) {
+  const auto& spec = jobs_.at(member.job.value).spec;
+  const auto kind = spec.queue + "/" + std::to_string(static_cast<int>(spec.rank));
+  std::erase_if(room_made_, [&](const RoomMade& made) {
+    // What does not rank above it takes no room that was made: it finds some beside.
+    if (made.host != machine.host || spec.rank <= jobs_.at(made.member.job.value).spec.rank) return false;
+    const auto [last, first] = made_room_for_.try_emplace(made.member, kind);
+    if (!first && last->second == kind) {
+      ++made_room_again;
+      log_->debug("{} made room for {} again", made.member.text(), kind);
+    }
+    last->second = kind;
+    return true;
+  });
+}
+
+void World::check_room_made() {
+  for (; !room_made_.empty() && now_ - room_made_.front().at > room_used_within_s; room_made_.pop_front()) {
+    ++made_room_in_vain;
+    log_->debug("{} was stopped on {} in vain", room_made_.front().member.text(), room_made_.front().host);
+  }
+}
+
 void World::check_step() {
+  check_room_made();
   check_replicas();
+  check_stranded();
   // Invariant 2.
   if (leaders() > 1) violate("two_leaders", std::to_string(leaders()) + " controllers may give orders");
   if (steps_ % 512 == 0) check_records();
--- a/tests/sim/world.hpp
+++ b/tests/sim/world.hpp
@@ -60,7 +60,9 @@
   double born = 0;
   double hung_until = 0;
   double deaf_until = 0;  // its reports arrive, answers and commands do not
-  double taken_at = 0;    // 0: not warned
+  double mute_since = 0;  // it reaches no controller; commands reach it
+  double mute_until = 0;
+  double taken_at = 0;  // 0: not warned
   bool sick = false;
   std::uint64_t tenure = 1;
   std::uint64_t counter = 0;
@@ -95,6 +97,7 @@
   double told_cancelled = 0;  // 0: not
   double created = 0;
   double begun = 0;            // when its first task started; 0: not
+  std::uint32_t starts = 0;    // of its tasks
   bool broken = false;         // fails everywhere
   bool kept = false;           // never cancelled
   bool late = false;           // submitted when all that it waits for is over
@@ -154,6 +157,13 @@
   void cut(const std::string& a, const std::string& b, double seconds, bool hold);
   // The controller loses the state service and the other controllers; users and workers reach it.
   void isolate(int node, double seconds, bool hold = false);
+  // The workers of a zone and one controller reach each other, users and nothing else.
+  void cut_zone(const std::string& zone, int node, double seconds, bool hold = false) {
+    zone_cut_ = {zone, node, {now_ + seconds, hold}};
+  }
+  // The cloud has no machines in this zone.
+  void zone_stockout(const std::string& zone, double seconds) { zone_out_until_[zone] = now_ + seconds; }
+  void kill_zone(const std::string& zone, double share);
   void state_outage(double seconds) { state_down_until_ = now_ + seconds; }
   void refuse(int node, double seconds) { refused_until_[node] = now_ + seconds; }
   // This part of the transactions gets no answer and is carried out later, after newer ones.
@@ -176,6 +186,8 @@
   // or of one zone's. One: any that is up.
   void deafen_machines(double share, double seconds, const std::string& zone = "");
   void deafen_machine(double seconds);
+  // These machines reach no controller; direct requests reach them, and are answered.
+  void mute_machines(double share, double seconds, const std::string& zone = "");
   // Reports reach this controller; what it answers, and its direct requests to machines, is lost.
   void mute(int node, double seconds) { mute_until_[node] = now_ + seconds; }
   void sicken_machine();
@@ -267,8 +279,18 @@
   // Class -> machines that make one replica; what controllers that boot while `spanning` know of it.
   std::map<std::string, std::uint32_t> spans;
   bool spanning = true;
-  bool split_seen = false;     // also where the leader knows no replicas
-  double half_limit_s = 0;     // in which a replica that is partly there is whole or gone; 0: not checked
+  bool split_seen = false;  // also where the leader knows no replicas
+  double half_limit_s = 0;  // in which a replica that is partly there is whole or gone; 0: not checked
+  // Preemption: tasks stopped by command that nobody had cancelled; those among them that made room for the
+  // same class twice in a row; and those after which nothing above them began on their machine within this
+  // time.
+  double room_used_within_s = 20;
+  std::uint64_t made_room = 0;
+  std::uint64_t made_room_again = 0;
+  std::uint64_t made_room_in_vain = 0;
+  // Starts accepted by machines that had been mute for most of a lease: their tasks are lost with it.
+  std::uint64_t starts_on_mute = 0;
+  double waited_most_s = 0;    // beside room, with all well: the most that was seen (rule `stranded`)
   bool moves_checked = false;  // replicas are stopped by nothing but moves: a part of a job's at a time
   // Keys whose writes are refused as malformed.
   std::set<std::string> untaken;
@@ -303,6 +325,13 @@
     bool hold = false;
   };
 
+  struct ZoneCut {
+    std::string zone;
+    int node = -1;  // within
+    Link link;
+  };
+  bool within_cut_zone(const std::string& end) const;
+
   struct Freeze {
     double pending = 0;  // seconds from its next step
     double until = 0;
@@ -371,6 +400,12 @@
   void check_replicas();
   bool troubled() const;
   void check_forgotten();
+  bool disturbed() const;
+  bool room_beside(const SimJob& job, const std::map<std::string, double>& team_cores) const;
+  void check_stranded();
+  void note_stop(const SimMachine& machine, const wire::MemberId& member);
+  void note_room_used(const SimMachine& machine, const wire::MemberId& member);
+  void check_room_made();
   void check_step();
   void check_records();
   void check_policy(const wire::Json& body);
@@ -394,6 +429,8 @@
   std::optional<net::RateLimit> puts_next_;
   std::vector<std::unique_ptr<Controller>> nodes_;
   std::map<std::pair<std::string, std::string>, Link> links_;
+  ZoneCut zone_cut_;
+  std::map<std::string, double> zone_out_until_;
 
   std::map<std::string, StateKey> keys_;
   std::vector<std::pair<std::uint64_t, wire::Json>> history_;
@@ -441,6 +478,21 @@
   std::map<Replica, double> half_since_;
   std::set<Replica> on_move_;
   double next_replica_check_ = 0;
+  double disturbed_at_ = 0;  // when anything of the site, its machines included, last was out of order
+  std::set<std::string> failed_machines_;  // dead or sick
+  double next_stranded_check_ = 0;
+  struct Waits {  // a job beside room
+    double since = 0;
+    std::uint32_t starts = 0;
+  };
+  std::map<std::string, Waits> beside_room_;
+  struct RoomMade {
+    std::string host;
+    wire::MemberId member;
+    double at = 0;
+  };
+  std::deque<RoomMade> room_made_;                       // and not used yet
+  std::map<wire::MemberId, std::string> made_room_for_;  // class and rank, the last time
 };
 
 // The broken rules, a line each.
