sim: machines that hang take what waits for them; starts after a cancellation are counted; bursts of cancellations

Cause: the checker's picture of a hanging machine was milder than the protocol. An answer that arrived while it hung was dropped, and its lease was looked at before or after the held commands as the steps fell. Change: a machine that goes on takes the answer that waits (unless it has given it up), then the held commands, then looks at its lease. Within the lease its tasks count as there, after it as gone. Starts after a confirmed cancellation are counted, those ordered after it and those that a controller could have known of apart; bankhill_meeting_days prints them. World::cancel_now: jobs that run are called off within a fifth of a second, up to eight of their machines hang; drawn in MeetingDay. Scenarios: teams at their limits, work that changes hands, every moment of the cancellation in the gap.

--- a/tests/meeting_days.cpp
+++ b/tests/meeting_days.cpp
@@ -11,7 +11,15 @@
 constexpr int kExitBroken = 1;
 constexpr std::size_t kLines = 10;  // of a day, unless it is told alone
 
-bool play(std::uint64_t seed, int controllers, bool story) {
+using bankhill::sim::World;
+
+void print(const World::CancelledStarts& starts) {
+  std::cout << "starts after a confirmed cancellation: " << starts.all
+            << ", ordered after it: " << starts.ordered_after
+            << ", though nothing kept the controller from knowing: " << starts.knowable << std::endl;
+}
+
+bool play(std::uint64_t seed, int controllers, bool story, World::CancelledStarts& starts) {
   std::optional<bankhill::sim::MeetingDay> day;
   std::vector<std::string> broken;
   try {
@@ -20,6 +28,7 @@
   } catch (const std::exception& error) {
     broken.push_back(std::string("exception: ") + error.what());
   }
+  if (day) starts += day->world().cancelled_starts();
   if (story && day)
     for (const auto& line : day->story()) std::cout << "  " << line << "\n";
   if (broken.empty()) return true;
@@ -46,10 +55,16 @@
   program.add_option("--controllers", controllers, "instead of three or five, by the seed")
       ->check(CLI::Range(1, 10));
   CLI11_PARSE(program, argc, argv);
-  if (seed) return play(*seed, controllers, true) ? 0 : kExitBroken;
+  World::CancelledStarts starts;
+  if (seed) {
+    const bool well = play(*seed, controllers, true, starts);
+    print(starts);
+    return well ? 0 : kExitBroken;
+  }
   std::uint64_t broke = 0;
-  for (std::uint64_t i = 0; i < count; ++i) broke += play(first + i, controllers, false) ? 0 : 1;
+  for (std::uint64_t i = 0; i < count; ++i) broke += play(first + i, controllers, false, starts) ? 0 : 1;
   std::cout << count << " days, seeds " << first << " to " << first + count - 1 << ": " << broke
             << " broke something" << std::endl;
+  print(starts);
   return broke == 0 ? 0 : kExitBroken;
 }
--- a/tests/meetings_gap_test.cpp
+++ b/tests/meetings_gap_test.cpp
@@ -3,6 +3,7 @@
 // the old leader. Whatever coincides, the tasks are gone within cancel_s of the confirmation.
 #include <gtest/gtest.h>
 
+#include <algorithm>
 #include <array>
 
 #include "sim/jobs.hpp"
@@ -85,6 +86,38 @@
 
 INSTANTIATE_TEST_SUITE_P(Seeds, Gap, testing::Range(1, 13));
 
+// Every moment of the cancellation from half a second before to half a second after the refusal; a second
+// after the refusal the service is out for longer than a cancellation may take.
+TEST(GapScenario, EveryMomentOfTheCancellation) {
+  constexpr double kStep = 0.05;
+  for (const int controllers : {3, 5})
+    for (const std::uint64_t seed : {1, 2, 3}) {
+      World world(seed, controllers, kTiming);
+      world.large_offered = false;
+      world.run(5);
+      std::vector<std::string> uids;
+      for (int i = 0; i <= 20; ++i) uids.push_back(world.submit(kept_batch(2, 0.5, 2000)));
+      world.run(70);
+      const int old_leader = world.leader();
+      ASSERT_GE(old_leader, 0);
+      const double refused = world.now() + 1;
+      world.at(refused, [&] { world.refuse(old_leader, kRefused); });
+      for (std::size_t i = 0; i < uids.size(); ++i)
+        world.at(refused - 0.5 + kStep * static_cast<double>(i),
+                 [&world, uid = uids[i]] { world.cancel(uid); });
+      world.at(refused + 1, [&] { world.state_outage(1.2 * kTiming.cancel_s); });
+      world.run(refused + 1);
+      const auto told = std::count_if(uids.begin(), uids.end(), [&](const std::string& uid) {
+        return world.jobs().at(uid).told_cancelled > 0;
+      });
+      EXPECT_GE(told, 8) << "too few were confirmed before the outage";
+      world.run(refused + 3.2 * kTiming.cancel_s);
+      ASSERT_TRUE(world.broken().empty()) << controllers << " " << seed << " " << listing(world.broken());
+      EXPECT_EQ(world.leaders(), 1);
+      for (const auto& uid : uids) EXPECT_GT(world.jobs().at(uid).told_cancelled, 0) << uid;
+    }
+}
+
 // The leader's lease outlives the outage, since every lease has its full time again, and is renewed; its read
 // barriers alone get no answer. Until one does it must not go on by what it knew before.
 TEST(GapScenario, ALeaseThatOutlivesTheOutageIsNoReasonToAnswer) {
--- /dev/null
+++ b/tests/meetings_limits_test.cpp
@@ -0,0 +1,414 @@
+// Cancellations where a team is at its limit, machines are hung, deaf or cut off and leaders change
+// (docs/MEETINGS.md), and the checker's own tests for what it counts there. With three and five controllers.
+#include <gtest/gtest.h>
+
+#include <algorithm>
+#include <array>
+#include <tuple>
+
+#include "sim/jobs.hpp"
+
+namespace bankhill::sim {
+namespace {
+
+constexpr Timing kDefault{};
+constexpr double kLease = kDefault.lease_s;
+constexpr double kCancel = kDefault.cancel_s;
+constexpr double kMachineCores = 4;  // of the small type
+// Of the simulated site.
+constexpr double kRedLimit = 40;
+constexpr double kBlueLimit = 24;
+
+bool caught(const World& world, const std::string& rule) {
+  const auto& broken = const_cast<World&>(world).broken();
+  return std::any_of(broken.begin(), broken.end(),
+                     [&](const std::string& line) { return line.starts_with(rule + " "); });
+}
+
+std::string host_of(World& world, const wire::MemberId& member) {
+  for (auto& [host, machine] : world.machines())
+    if (machine.on(member, world.now(), kLease)) return host;
+  return "";
+}
+
+std::size_t index_of(World& world, const std::string& host) {
+  return static_cast<std::size_t>(std::distance(world.machines().begin(), world.machines().find(host)));
+}
+
+double cores_on(World& world, const std::string& owner, double lease_s) {
+  double cores = 0;
+  for (auto& [host, machine] : world.machines())
+    for (const auto& [member, task] : machine.tasks)
+      if (const auto& spec = world.jobs().at(member.job.value).spec;
+          spec.owner == owner && machine.on(member, world.now(), lease_s))
+        cores += spec.need.cores;
+  return cores;
+}
+
+bool until(World& world, double within_s, const std::function<bool()>& reached) {
+  const double limit = world.now() + within_s;
+  while (world.now() < limit && !reached()) world.run(world.now() + 0.05);
+  return reached();
+}
+
+SimJob whole_machine(const std::string& owner) {
+  auto job = kept_batch(1, kMachineCores, 3000);
+  job.spec.owner = owner;
+  return job;
+}
+
+// A machine that the controllers did not rent, and that need not fetch the image first.
+std::string stray(World& world) {
+  const auto host = world.stray_machine("za");
+  world.machines().at(host).images.insert("img-1");
+  return host;
+}
+
+enum class Unreached { hung, deaf, cut_off };
+constexpr std::array kUnreached = {Unreached::hung, Unreached::deaf, Unreached::cut_off};
+
+void leave_unreached(World& world, SimMachine& machine, Unreached how, double seconds) {
+  if (how == Unreached::hung) machine.hung_until = world.now() + seconds;
+  if (how == Unreached::deaf) machine.deaf_until = world.now() + seconds;
+  if (how == Unreached::cut_off)
+    for (int node = 0; node < world.nodes(); ++node) {
+      const auto name = "node-" + std::to_string(node);
+      world.cut(name, machine.host, seconds, false);
+      world.cut(name, "workers-" + machine.zone, seconds, false);
+    }
+}
+
+// ---- the checker
+
+struct CheckedSite {
+  World world{8, 3};
+  std::string uid;
+  wire::MemberId member;
+
+  explicit CheckedSite(SimJob job) {
+    world.large_offered = false;
+    world.unchecked_records = true;
+    world.run(5);
+    uid = world.submit(std::move(job));
+    member = {wire::JobId{uid}, 0};
+    world.run(60);
+  }
+};
+
+TEST(Checker, SeesATaskThatRunsTwiceThoughItsMachineIsNotReached) {
+  for (const auto how : kUnreached) {
+    CheckedSite site(whole_machine("red"));
+    auto& world = site.world;
+    const auto host = host_of(world, site.member);
+    ASSERT_FALSE(host.empty());
+    ASSERT_TRUE(world.broken().empty()) << listing(world.broken());
+    leave_unreached(world, world.machines().at(host), how, kLease);
+    world.run(world.now() + 1);
+    const auto other = stray(world);
+    world.force_start(site.member, index_of(world, other));
+    world.run(world.now() + 2);
+    EXPECT_TRUE(caught(world, "ran_twice")) << static_cast<int>(how);
+  }
+}
+
+TEST(Checker, CountsMachinesThatAreNotReachedAgainstALimit) {
+  for (const auto how : kUnreached) {
+    auto job = whole_machine("blue");
+    job.spec.members = 7;
+    CheckedSite site(job);
+    auto& world = site.world;
+    ASSERT_TRUE(until(world, 100, [&] { return cores_on(world, "blue", kLease) == kBlueLimit; }));
+    ASSERT_TRUE(world.broken().empty()) << listing(world.broken());
+    wire::MemberId waits = site.member;
+    while (!host_of(world, waits).empty()) ++waits.index;
+    ASSERT_LT(waits.index, 7U);
+    const auto held = wire::MemberId{site.member.job, waits.index == 0 ? 1U : 0U};
+    leave_unreached(world, world.machines().at(host_of(world, held)), how, kLease);
+    world.run(world.now() + 1);
+    const auto other = stray(world);
+    world.force_start(waits, index_of(world, other));
+    world.run(world.now() + 2);
+    EXPECT_TRUE(caught(world, "quota")) << static_cast<int>(how);
+  }
+}
+
+// The cancelled task is there again 15 s before the time is up, on a machine that hangs; `lease_left`: of the
+// lease from then on.
+bool sees_a_cancelled_task_on_a_hung_machine(double lease_left) {
+  CheckedSite site(whole_machine("red"));
+  auto& world = site.world;
+  const auto host = host_of(world, site.member);
+  world.cancel(site.uid);
+  EXPECT_TRUE(until(world, 5, [&] { return world.jobs().at(site.uid).told_cancelled > 0; }));
+  const double limit = world.jobs().at(site.uid).told_cancelled + kCancel;
+  world.cloud_outage(2 * kCancel);  // else the leader returns the machine
+  const auto other = stray(world);
+  world.run(limit - 15);
+  auto& machine = world.machines().at(other);
+  machine.tasks[site.member] = {wire::TryNo{1}, wire::MemberPhase::running, wire::ExitCause::none, 0, 0};
+  machine.lease_from = world.now() + lease_left - kLease;
+  machine.hung_until = limit + 4;
+  world.run(limit + 8);
+  return caught(world, "ran_cancelled");
+}
+
+TEST(Checker, SeesACancelledTaskThatGoesOnAfterAHang) {
+  EXPECT_TRUE(sees_a_cancelled_task_on_a_hung_machine(20)) << "it goes on within its lease";
+  EXPECT_TRUE(sees_a_cancelled_task_on_a_hung_machine(15.5)) << "it could have gone on within its lease";
+  EXPECT_FALSE(sees_a_cancelled_task_on_a_hung_machine(14)) << "its lease was over in time";
+}
+
+// What was answered while it hangs it takes when it goes on, and only then looks at its lease.
+TEST(Checker, AHangingMachineTakesTheAnswerThatWaits) {
+  for (const double hang_s : {2.0, 6.0}) {
+    CheckedSite site(whole_machine("red"));
+    auto& world = site.world;
+    const auto host = host_of(world, site.member);
+    auto& machine = world.machines().at(host);
+    const auto before = machine.exchange;
+    ASSERT_TRUE(until(world, 8, [&] { return machine.exchange > before && !machine.in_flight; }));
+    // The answer to its next report arrives when it hangs already.
+    world.held_up = [&](const std::string& from, const std::string& to, const std::string&) {
+      return from.starts_with("node-") && to == "workers-" + machine.zone ? 0.3 : 0.0;
+    };
+    const auto exchange = machine.exchange;
+    while (machine.exchange == exchange) world.run(world.now() + 0.01);
+    machine.lease_from = world.now() - kLease + 1;
+    machine.hung_until = world.now() + hang_s;
+    const auto tenure = machine.tenure;
+    world.run(machine.hung_until - 0.1);
+    const bool given_up = hang_s > 4;
+    EXPECT_EQ(machine.on(site.member, world.now(), kLease), !given_up) << hang_s;
+    world.run(machine.hung_until + 0.5);
+    EXPECT_EQ(machine.tenure > tenure, given_up) << hang_s;
+    EXPECT_TRUE(world.broken().empty()) << listing(world.broken());
+  }
+}
+
+TEST(Checker, CountsStartsAfterACancellation) {
+  CheckedSite site(whole_machine("red"));
+  auto& world = site.world;
+  world.cancel(site.uid);
+  ASSERT_TRUE(until(world, 5, [&] { return world.jobs().at(site.uid).told_cancelled > 0; }));
+  world.run(world.now() + 2);
+  EXPECT_EQ(world.cancelled_starts().all, 0U);
+  const auto other = stray(world);
+  world.force_start(site.member, index_of(world, other));
+  world.run(world.now() + 1);
+  EXPECT_EQ(world.cancelled_starts().all, 1U);
+  EXPECT_EQ(world.cancelled_starts().ordered_after, 1U);
+  EXPECT_EQ(world.cancelled_starts().knowable, 1U);
+}
+
+// ---- without other trouble
+
+class CancelledEarly : public testing::TestWithParam<int> {};
+
+// Users cancel at any moment of a job's first seconds: placed, under way, fetching, running.
+TEST_P(CancelledEarly, NothingStartsThatAControllerCouldHaveKnownOf) {
+  World world(static_cast<std::uint64_t>(GetParam()), GetParam() % 2 == 0 ? 5 : 3);
+  world.run(5);
+  world.submit(kept_batch(2, 1, 500));
+  world.run(40);
+  int cancelled = 0;
+  for (int i = 0; i < 60; ++i) {
+    auto job = kept_batch(static_cast<std::uint32_t>(1 + world.pick(3)), 1, world.uniform(3, 60));
+    job.spec.bundle = "img-" + std::to_string(world.pick(6));
+    const auto uid = world.submit(job);
+    if (world.chance(0.7)) {
+      ++cancelled;
+      world.at(world.now() + world.uniform(0.01, 4), [&world, uid] { world.cancel(uid); });
+    }
+    world.run(world.now() + world.uniform(0.2, 1.5));
+  }
+  world.run(world.now() + 2 * kCancel);
+  EXPECT_TRUE(world.broken().empty()) << listing(world.broken());
+  EXPECT_GT(cancelled, 20);
+  const auto& starts = world.cancelled_starts();
+  EXPECT_EQ(starts.knowable, 0U) << "of " << starts.all;
+  EXPECT_EQ(starts.ordered_after, 0U) << "of " << starts.all;
+}
+
+INSTANTIATE_TEST_SUITE_P(Seeds, CancelledEarly, testing::Range(1, 5));
+
+// ---- every team at its limit
+
+using Draw = std::tuple<int, int>;  // controllers, seed
+
+int seeded(const Draw& draw) { return 100 * std::get<0>(draw) + std::get<1>(draw); }
+
+// Red and blue use all that they may, a machine for each task, and more of both waits.
+struct FullSite {
+  World world;
+  std::vector<std::string> running;
+
+  explicit FullSite(const Draw& draw) : world(static_cast<std::uint64_t>(seeded(draw)), std::get<0>(draw)) {
+    world.large_offered = false;
+    world.most_machines = 24;
+    world.run(5);
+    for (int i = 0; i < kRedLimit / kMachineCores; ++i) submit("red");
+    for (int i = 0; i < kBlueLimit / kMachineCores; ++i) submit("blue");
+    until(world, 200, [&] { return full(); });
+    for (int i = 0; i < 6; ++i) {
+      world.submit(whole_machine("red"));
+      world.submit(whole_machine("blue"));
+    }
+    world.run(world.now() + 3);
+  }
+  void submit(const std::string& owner) { running.push_back(world.submit(whole_machine(owner))); }
+  bool full() {
+    return cores_on(world, "red", kLease) == kRedLimit && cores_on(world, "blue", kLease) == kBlueLimit;
+  }
+  // The machines of so many running jobs, of red and blue in turn.
+  std::vector<std::pair<std::string, std::string>> victims(int count) {
+    std::vector<std::pair<std::string, std::string>> found;
+    for (std::size_t i = 0; i < running.size() / 2 && count > 0; ++i)
+      for (const auto& uid : {running[i], running[running.size() - 1 - i]}) {
+        const auto host = host_of(world, {wire::JobId{uid}, 0});
+        if (host.empty() || count-- <= 0) continue;
+        found.emplace_back(uid, host);
+      }
+    return found;
+  }
+  void end_reign(int how, double seconds) {
+    const int leader = std::max(0, world.leader());
+    if (how == 0) world.crash(leader, std::min(seconds, 6.0));
+    if (how == 1) world.refuse(leader, seconds);
+    if (how == 2) world.freeze(leader, seconds);
+    if (how == 3)
+      for (int node = 0; node < world.nodes(); ++node) world.crash(node, 0.5);
+  }
+  void expect_well_after(const std::vector<std::string>& cancelled) {
+    world.heal();
+    EXPECT_TRUE(until(world, kCancel + 4 * kLease, [&] { return full(); }))
+        << "room is not used again: " << cores_on(world, "red", kLease) << " and "
+        << cores_on(world, "blue", kLease);
+    world.run(world.now() + kLease);
+    EXPECT_TRUE(world.broken().empty()) << listing(world.broken());
+    EXPECT_EQ(world.leaders(), 1);
+    for (const auto& uid : cancelled) EXPECT_GT(world.jobs().at(uid).told_cancelled, 0) << uid;
+  }
+};
+
+class AtTheLimit : public testing::TestWithParam<Draw> {};
+
+// The jobs of machines that are not reached are called off, and the leader changes before, at and after that:
+// their room is free only once their tasks are surely gone, by the next leader's reckoning too.
+TEST_P(AtTheLimit, RoomIsFreeOnlyOnceTheCancelledAreGone) {
+  FullSite site(GetParam());
+  auto& world = site.world;
+  ASSERT_TRUE(site.full()) << cores_on(world, "red", kLease) << " " << cores_on(world, "blue", kLease);
+  const auto draw = static_cast<unsigned>(std::get<1>(GetParam()));
+  std::vector<std::string> cancelled;
+  const double unreached_s = kLease * std::array{0.5, 0.9, 1.0, 1.6}[draw % 4];
+  const double asked = world.now() + 1;
+  for (const auto& [uid, host] : site.victims(8)) {
+    cancelled.push_back(uid);
+    world.at(asked - world.uniform(0, 0.4), [&world, draw, unreached_s, host = host] {
+      leave_unreached(world, world.machines().at(host), kUnreached[draw % kUnreached.size()], unreached_s);
+    });
+    world.at(asked + world.uniform(0, 0.2), [&world, uid = uid] { world.cancel(uid); });
+  }
+  ASSERT_EQ(cancelled.size(), 8U);
+  world.at(asked + std::array{-0.5, 0.1, 1.0, 5.0}[draw / 2 % 4],
+           [&] { site.end_reign(static_cast<int>(draw % 4), 14); });
+  world.at(asked + std::array{8.0, 12.0, kLease, 1.3 * kLease}[draw % 4],
+           [&] { site.end_reign(static_cast<int>((draw + 1) % 4), 14); });
+  world.run(asked + 1.2 * kCancel);
+  ASSERT_TRUE(world.broken().empty()) << listing(world.broken());
+  site.expect_well_after(cancelled);
+}
+
+// The leader is gone, the next one can't ask some machines, and what runs there and elsewhere is called off
+// before they are confirmed.
+TEST_P(AtTheLimit, ACancellationBeforeAllMachinesAreConfirmed) {
+  FullSite site(GetParam());
+  auto& world = site.world;
+  ASSERT_TRUE(site.full());
+  const auto draw = static_cast<unsigned>(std::get<1>(GetParam()));
+  std::vector<std::string> cancelled;
+  const auto victims = site.victims(10);
+  for (std::size_t i = 0; i < victims.size(); ++i)
+    if (i % 2 == 0)
+      leave_unreached(world, world.machines().at(victims[i].second), kUnreached[draw % 2],
+                      kLease * std::array{0.6, 1.0, 1.5}[draw % 3]);
+  site.end_reign(draw % 2 == 0 ? 0 : 3, 3);
+  ASSERT_TRUE(until(world, 30, [&] { return world.leader() >= 0; }));
+  const double led = world.now();
+  for (const auto& [uid, host] : victims) {
+    cancelled.push_back(uid);
+    world.at(led + world.uniform(0, 0.3 * kLease), [&world, uid = uid] { world.cancel(uid); });
+  }
+  // And once more while some are not confirmed yet.
+  world.at(led + 0.4 * kLease, [&] { site.end_reign(static_cast<int>(draw % 4), 14); });
+  world.run(led + 1.4 * kCancel);
+  ASSERT_TRUE(world.broken().empty()) << listing(world.broken());
+  site.expect_well_after(cancelled);
+}
+
+INSTANTIATE_TEST_SUITE_P(Seeds, AtTheLimit, testing::Combine(testing::Values(3, 5), testing::Range(0, 8)));
+
+// ---- as work changes hands
+
+enum class Hands { leaders, delegates, workers };
+
+class ChangesHands : public testing::TestWithParam<std::tuple<int, Hands>> {};
+
+// A job is called off at every quarter of a second from two before to four after the change.
+TEST_P(ChangesHands, TheCancelledAreGoneAndStartNoMore) {
+  const auto [controllers, hands] = GetParam();
+  std::uint64_t starts = 0;
+  for (const std::uint64_t seed : {1, 2, 3}) {
+    World world(seed, controllers);
+    world.large_offered = false;
+    world.run(5);
+    std::vector<std::string> jobs;
+    for (int i = 0; i < 24; ++i) jobs.push_back(world.submit(kept_batch(2, 0.5, 3000)));
+    world.run(60);
+    const int leader = world.leader();
+    ASSERT_GE(leader, 0);
+    const double changes = world.now() + 3;
+    for (std::size_t i = 0; i < jobs.size(); ++i)
+      world.at(changes - 2 + 0.25 * static_cast<double>(i), [&world, uid = jobs[i]] { world.cancel(uid); });
+    // What comes meanwhile is called off while it is being started.
+    for (int i = 0; i < 12; ++i)
+      world.at(changes - 1 + 0.3 * i, [&world] {
+        auto job = kept_batch(2, 0.5, 3000);
+        job.spec.bundle = "img-" + std::to_string(world.pick(4));
+        const auto uid = world.submit(job);
+        world.at(world.now() + world.uniform(0.1, 2.5), [&world, uid] { world.cancel(uid); });
+      });
+    world.at(changes, [&, hands = hands] {
+      const auto next = [&](int from) { return (from + 1) % world.nodes(); };
+      const auto name = [](int node) { return "node-" + std::to_string(node); };
+      if (hands == Hands::leaders) world.refuse(leader, 8);
+      if (hands == Hands::delegates) {
+        // One loses its siblings, another is back within a second.
+        world.cut(name(leader), name(next(leader)), 10, seed % 2 == 0);
+        world.crash(next(next(leader)), 0.7);
+      }
+      if (hands == Hands::workers)
+        for (const char* zone : {"workers-za", "workers-zb"})
+          world.cut(name(next(leader)), zone, 10, seed % 2 == 0);
+    });
+    if (hands != Hands::leaders)
+      world.at(changes + 2, [&world] { world.crash(std::max(0, world.leader()), 1); });
+    world.run(changes + 2 * kCancel);
+    ASSERT_TRUE(world.broken().empty()) << seed << " " << listing(world.broken());
+    EXPECT_EQ(world.leaders(), 1) << seed;
+    for (const auto& [uid, job] : world.jobs()) EXPECT_GT(job.told_cancelled, 0) << seed << " " << uid;
+    EXPECT_EQ(world.cancelled_starts().knowable, 0U) << seed;
+    starts += world.cancelled_starts().all;
+    for (const auto& [host, machine] : world.machines())
+      for (const auto& [member, task] : machine.tasks)
+        EXPECT_FALSE(machine.on(member, world.now(), kLease)) << seed << " " << member.text();
+  }
+  RecordProperty("starts_after_a_cancellation", static_cast<int>(starts));
+}
+
+INSTANTIATE_TEST_SUITE_P(All, ChangesHands,
+                         testing::Combine(testing::Values(3, 5),
+                                          testing::Values(Hands::leaders, Hands::delegates, Hands::workers)));
+
+}  // namespace
+}  // namespace bankhill::sim
--- a/tests/sim/meetings.cpp
+++ b/tests/sim/meetings.cpp
@@ -176,7 +176,13 @@
     tell(what + (of_one ? " " + name : "") + " for " + text(seconds) + " s");
   };
   const std::string how = held ? ", packets held," : "";
-  switch (world_.pick(20)) {
+  switch (world_.pick(21)) {
+    case 20: {
+      const double hang = world_.chance(0.6) ? seconds : 0;
+      const int jobs = world_.cancel_now(2 + world_.pick(8), hang);
+      return tell(std::to_string(jobs) + " running jobs called off" +
+                  (hang > 0 ? ", their machines hang for " + text(hang) + " s" : ""));
+    }
     case 0:
     case 1:
       say("the state service refuses");
--- a/tests/sim/world.cpp
+++ b/tests/sim/world.cpp
@@ -23,6 +23,13 @@
 constexpr double kCopyLeases = 6;     // copies of reports are kept for so long
 constexpr double kPhantomLeases = 3;  // after its end a machine may still be recorded, behind an outage
 constexpr double kForgottenS = 75;    // the operators' rule
+constexpr double kLearnS = 1;         // in which a leader that nothing hinders reads what was committed
+// A machine that goes on takes the answer that waits in its socket, then the held commands, and only then
+// looks at its lease: the order that lets most be executed.
+constexpr double kGoesOnCommands = 0.01;
+constexpr double kGoesOnLease = 0.02;
+constexpr std::size_t kBurstHangs = 8;
+constexpr double kBurstS = 0.2;
 constexpr double kNextWriteRps = 60;
 constexpr double kNextValueKb = 2;
 constexpr std::size_t kNextTxnOps = 8;
@@ -271,6 +278,16 @@
 
 // ---- world
 
+bool SimMachine::within_lease(double now, double lease_s) const {
+  return now - std::max(lease_from, pending_from) <= lease_s;
+}
+
+bool SimMachine::on(const MemberId& member, double now, double lease_s) const {
+  const auto found = tasks.find(member);
+  return up && !dead && within_lease(now, lease_s) && found != tasks.end() &&
+         (found->second.phase == MemberPhase::running || found->second.phase == MemberPhase::flushing);
+}
+
 World::World(std::uint64_t seed, int controllers, Timing timing)
     : node_count_(controllers > 0 ? controllers : kNodes),
       timing_(timing),
@@ -303,7 +320,7 @@
 Response World::serve_machine(const std::string& host, const Request& request) {
   const auto found = machines_.find(host);
   if (found == machines_.end() || !found->second.up) return {503, "{}", std::nullopt};
-  return command(found->second, request);
+  return command(found->second, request, now_);
 }
 World::~World() = default;
 
@@ -442,7 +459,8 @@
         }
   }
   const auto body = request.body;
-  const auto arrives = [this, node, state, cloud, address, request = std::move(request), back, starts] {
+  const auto arrives = [this, node, state, cloud, address, request = std::move(request), back, starts,
+                        sent = now_] {
     const auto arrived = [this, starts] {
       for (const auto start : starts) direct_starts_.erase(start);
     };
@@ -458,13 +476,13 @@
       if (unheard(node, host, request.body)) return arrived();
       if (now_ >= machine.hung_until) {
         arrived();
-        return back(command(machine, request));
+        return back(command(machine, request, sent));
       }
       // A hanging machine executes what has arrived when it goes on.
-      return at(machine.hung_until + 0.01, [this, host = host, request, back, arrived] {
+      return at(machine.hung_until + kGoesOnCommands, [this, host = host, request, back, arrived, sent] {
         arrived();
         const auto found = machines_.find(host);
-        if (found != machines_.end() && !found->second.dead) back(command(found->second, request));
+        if (found != machines_.end() && !found->second.dead) back(command(found->second, request, sent));
       });
     }
     arrived();  // nobody is there
@@ -750,7 +768,7 @@
     erase_machine(host);
     return;
   }
-  if (now_ < machine.hung_until || !machine.up) return;
+  if (now_ < machine.hung_until + (machine.hung_until > 0 ? kGoesOnLease : 0) || !machine.up) return;
   if (now_ - machine.lease_from > settings_.lease_s) {
     machine.tasks.clear();
     ++machine.tenure;
@@ -812,9 +830,10 @@
     if (found != machines_.end() && found->second.exchange == exchange && found->second.in_flight)
       next_node();
   });
-  auto receive = [this, host = machine.host, exchange, tenure, sent, next_node](const Response& response) {
+  auto receive = [this, host = machine.host, exchange, tenure, sent, next_node](const Response& response,
+                                                                                double ordered) {
     const auto found = machines_.find(host);
-    if (found == machines_.end() || found->second.dead || now_ < found->second.hung_until) return;
+    if (found == machines_.end() || found->second.dead) return;
     auto& worker = found->second;
     if (worker.exchange != exchange || !worker.in_flight || worker.tenure != tenure) return;
     if (response.status == 421) {
@@ -835,14 +854,21 @@
     if (fence > worker.fence) want_report(worker);
     worker.fence = fence;
     worker.lease_from = std::max(worker.lease_from, sent);
-    execute(worker, wire::parse_orders(body["orders"]));
+    execute(worker, wire::parse_orders(body["orders"]), ordered);
   };
-  const auto arrives = [this, node, zone, host = machine.host, request, receive] {
-    to_node(node, request, [this, zone, node, host, receive](const Response& response) {
+  const auto arrives = [this, node, zone, host = machine.host, request, receive, sent] {
+    to_node(node, request, [this, zone, node, host, receive, sent](const Response& response) {
       if (response.status == 200 && response.body.find("\"verb\"") != std::string::npos)
         tell(Moment::ordered, node);
-      const auto back = [this, node, host, receive, response] {
-        if (!unheard(node, host, response.body)) receive(response);
+      const auto back = [this, node, host, receive, response, sent, ordered = now_] {
+        if (unheard(node, host, response.body)) return;
+        const auto found = machines_.find(host);
+        if (found == machines_.end() || now_ >= found->second.hung_until) return receive(response, ordered);
+        // It waits in the socket of the hanging machine, which takes it unless it has given it up by then.
+        const double goes_on = found->second.hung_until;
+        if (goes_on >= sent + kReportDrop) return;
+        if (response.status == 200) found->second.pending_from = sent;
+        at(goes_on, [receive, response, ordered] { receive(response, ordered); });
       };
       carry(node_name(node), zone, 0.002, back, response.body);
     });
@@ -861,7 +887,7 @@
   return true;
 }
 
-Response World::command(SimMachine& machine, const Request& request) {
+Response World::command(SimMachine& machine, const Request& request, double sent) {
   const auto body = Json::parse(request.body);
   const auto fence = body["fence"].get<std::uint64_t>();
   ++machine.counter;
@@ -869,17 +895,17 @@
     return {409, to_json(report_of(machine)).dump(), std::nullopt};
   if (fence > machine.fence) want_report(machine);
   machine.fence = fence;
-  execute(machine, wire::parse_orders(body["orders"]));
+  execute(machine, wire::parse_orders(body["orders"]), sent);
   auto answer = to_json(report_of(machine)).dump();
   keep_copy(answer);
   return {200, std::move(answer), std::nullopt};
 }
 
-void World::execute(SimMachine& machine, const std::vector<wire::Order>& orders) {
+void World::execute(SimMachine& machine, const std::vector<wire::Order>& orders, double sent) {
   for (const auto& order : orders) {
     const auto found = machine.tasks.find(order.member);
     if (order.verb == wire::Verb::start) {
-      start(machine, order.member, order.try_no);
+      start(machine, order.member, order.try_no, sent);
     } else if (found == machine.tasks.end() || found->second.try_no != order.try_no) {
       continue;
     } else if (order.verb == wire::Verb::stop) {
@@ -898,11 +924,11 @@
   }
 }
 
-void World::start(SimMachine& machine, const MemberId& member, wire::TryNo try_no) {
+void World::start(SimMachine& machine, const MemberId& member, wire::TryNo try_no, double ordered) {
   want_report(machine);
   const auto found = machine.tasks.find(member);
   if (found != machine.tasks.end() && found->second.try_no == try_no) return;
-  SimTask task{try_no, MemberPhase::pulling, ExitCause::none, 0};
+  SimTask task{try_no, MemberPhase::pulling, ExitCause::none, 0, ordered};
   const auto job = jobs_.find(member.job.value);
   if (found != machine.tasks.end() && found->second.phase != MemberPhase::exited) return;  // busy
   wire::Amounts used;
@@ -942,6 +968,7 @@
   ++starts_;
   if (job.begun == 0) job.begun = now_;
   log_->debug("{} starts on {}", member.text(), host);
+  count_cancelled_start(job, task->second.ordered);
   check_start(machine, member);
   want_report(machine);
   // A replica that spans machines shows that a machine is sick.
@@ -1238,6 +1265,31 @@
       return;
     }
 }
+int World::cancel_now(int count, double hang_s) {
+  std::map<std::string, std::set<std::string>> running;  // and where
+  for (const auto& [host, machine] : machines_)
+    for (const auto& [member, task] : machine.tasks) {
+      const auto job = jobs_.find(member.job.value);
+      if (job == jobs_.end() || !machine.on(member, now_, settings_.lease_s)) continue;
+      const auto& it = job->second;
+      const double least_s = it.run_s * std::min(1.0, it.longer);
+      const bool long_to_go =
+          it.spec.shape == wire::Shape::daemon || it.begun + least_s > now_ + settings_.cancel_s;
+      if (long_to_go && it.accepted && !it.cancel_asked && !it.broken) running[job->first].insert(host);
+    }
+  std::vector<std::string> chosen;
+  for (const auto& [uid, hosts] : running) chosen.push_back(uid);
+  std::shuffle(chosen.begin(), chosen.end(), random_);
+  chosen.resize(std::min(chosen.size(), static_cast<std::size_t>(std::max(0, count))));
+  std::set<std::string> hang;
+  for (const auto& uid : chosen) {
+    at(now_ + uniform(0, kBurstS), [this, uid] { user_cancel(uid); });
+    for (const auto& host : running.at(uid))
+      if (hang_s > 0 && hang.size() < kBurstHangs) hang.insert(host);
+  }
+  for (const auto& host : hang) machines_.at(host).hung_until = now_ + hang_s;
+  return static_cast<int>(chosen.size());
+}
 void World::kill_machines(double share) {
   for (auto& [host, machine] : machines_)
     if (machine.up && chance(share)) machine.dead = true;
@@ -1438,11 +1490,27 @@
   auto machine = machines_.begin();
   std::advance(machine, static_cast<std::ptrdiff_t>(index));
   machine->second.up = true;
-  start(machine->second, member, wire::TryNo{1});
+  start(machine->second, member, wire::TryNo{1}, now_);
 }
 
 // ---- rules
 
+World::CancelledStarts& World::CancelledStarts::operator+=(const CancelledStarts& other) {
+  all += other.all;
+  ordered_after += other.ordered_after;
+  knowable += other.knowable;
+  return *this;
+}
+
+// Once a user was told of a cancellation no task of the job may be started; what was under way may still.
+void World::count_cancelled_start(const SimJob& job, double ordered) {
+  const double told = job.told_cancelled;
+  if (told == 0) return;
+  const bool after = ordered > told;
+  const bool free = !troubled() && step_troubled_at_ < told - kLearnS;
+  cancelled_starts_ += {1, after ? 1U : 0U, free && ordered > told + kLearnS ? 1U : 0U};
+}
+
 void World::violate(const std::string& rule, const std::string& what) {
   log_->error("BROKEN {}: {}", rule, what);
   broken_.push_back(rule + " at " + std::to_string(now_) + ": " + what);
@@ -1762,6 +1830,7 @@
 
 void World::check_step() {
   check_replicas();
+  if (steps_ % 16 == 0 && troubled()) step_troubled_at_ = now_;
   // Invariant 2.
   if (leaders() > 1) violate("two_leaders", std::to_string(leaders()) + " controllers may give orders");
   if (steps_ % 512 == 0) check_records();
--- a/tests/sim/world.hpp
+++ b/tests/sim/world.hpp
@@ -48,6 +48,7 @@
   wire::MemberPhase phase = wire::MemberPhase::pulling;
   wire::ExitCause cause = wire::ExitCause::none;
   double ends = 0;
+  double ordered = 0;  // when the order that started it left its controller
 };
 
 struct SimMachine {
@@ -66,20 +67,19 @@
   std::uint64_t counter = 0;
   std::uint64_t fence = 0;
   double lease_from = 0;
-  int node = 0;  // reports to
+  double pending_from = 0;  // sending of the report whose answer waits in the hanging machine's socket
+  int node = 0;             // reports to
   bool in_flight = false;
   bool report_wanted = false;
   double last_report = -1;
   std::uint64_t exchange = 0;
   std::map<wire::MemberId, SimTask> tasks;
   std::set<std::string> images;
-  // A task ends with its machine's lease, also where a hang hides it.
-  bool on(const wire::MemberId& member, double now, double lease_s) const {
-    const auto found = tasks.find(member);
-    return up && !dead && now - lease_from <= lease_s && found != tasks.end() &&
-           (found->second.phase == wire::MemberPhase::running ||
-            found->second.phase == wire::MemberPhase::flushing);
-  }
+  bool within_lease(double now, double lease_s) const;
+  // A machine that hangs may go on at any moment within its lease, not after it: its tasks are there until
+  // then, and end with it also where the hang hides it. An answer that came while it hangs, and that it still
+  // takes when it goes on, lengthens the lease from the moment it came.
+  bool on(const wire::MemberId& member, double now, double lease_s) const;
 };
 
 struct SimJob {
@@ -172,6 +172,9 @@
   void kill_machines(double share);
   void hang_machines(double share, double seconds);
   void hang_machine(double seconds);
+  // Users call off so many jobs that run and have long to go, within a fifth of a second; up to eight of the
+  // machines that they run on hang for so long from now (0: none). Says how many jobs.
+  int cancel_now(int count, double hang_s = 0);
   // Reports of these machines arrive; answers to them and direct requests are lost: a share of all machines,
   // or of one zone's. One: any that is up.
   void deafen_machines(double share, double seconds, const std::string& zone = "");
@@ -235,6 +238,15 @@
   void write(const std::string& key, wire::Json data, bool checked = false);
   std::uint64_t steps() const { return steps_; }
   std::uint64_t starts() const { return starts_; }
+  // Tasks that started after a user was told that their job is cancelled.
+  struct CancelledStarts {
+    std::uint64_t all = 0;
+    std::uint64_t ordered_after = 0;  // their order left its controller after that too
+    // And nothing had kept that controller from knowing since: neither the state service nor the network.
+    std::uint64_t knowable = 0;
+    CancelledStarts& operator+=(const CancelledStarts& other);
+  };
+  const CancelledStarts& cancelled_starts() const { return cancelled_starts_; }
   std::set<std::string> awaited_starts() const;           // machines that direct starts are on their way to
   std::uint64_t delegated() const { return delegated_; }  // reports that went through delegates
 
@@ -335,15 +347,17 @@
   void boot_machine(const std::string& host);
   void machine_step(const std::string& host);
   wire::Report report_of(const SimMachine& machine) const;
-  void execute(SimMachine& machine, const std::vector<wire::Order>& orders);
-  void start(SimMachine& machine, const wire::MemberId& member, wire::TryNo try_no);
+  // `sent`: when they left their controller.
+  void execute(SimMachine& machine, const std::vector<wire::Order>& orders, double sent);
+  void start(SimMachine& machine, const wire::MemberId& member, wire::TryNo try_no, double ordered);
   void image_ready(const std::string& host, const wire::MemberId& member, std::uint64_t try_no);
   void task_ended(const std::string& host, const wire::MemberId& member, std::uint64_t try_no);
   void want_report(SimMachine& machine);
   // Whether what this controller tells the machine is lost; counts the starts in it.
   bool unheard(int node, const std::string& host, const std::string& body);
   void send_report(SimMachine& machine);
-  net::Response command(SimMachine& machine, const net::Request& request);
+  net::Response command(SimMachine& machine, const net::Request& request, double sent);
+  void count_cancelled_start(const SimJob& job, double ordered);
 
   void keep_copy(const std::string& body);
   SimMachine& add_machine(const std::string& flavor, const std::string& zone, bool spot);
@@ -382,6 +396,8 @@
   std::uint64_t order_ = 0;
   std::uint64_t steps_ = 0;
   std::uint64_t starts_ = 0;
+  CancelledStarts cancelled_starts_;
+  double step_troubled_at_ = 0;  // as troubled_at_, after each step
   std::uint64_t delegated_ = 0;
   std::priority_queue<Event, std::vector<Event>, std::greater<>> queue_;
   std::mt19937_64 random_;
