model: one count of leases and of starts that may still arrive

Cause: when a lease is surely over stood in Leader::watch and in adopt_records, and whether a direct start can still arrive in four places of the leader. Change: model/surely_gone.hpp, Lease and StartsUnderWay; a new leader begins the lease of each recorded machine with its reign. An answer too many can no longer make the count of unanswered starts negative.

--- a/src/leader/fleet.cpp
+++ b/src/leader/fleet.cpp
@@ -569,8 +569,7 @@
     fleet_.refresh(machine);
   }
   // Invariant 5: no earlier leader answered after this reign began, so the lease has run out by now.
-  const double last_renewal = std::max(machine.last_answered, reign_since_);
-  if (now > last_renewal + settings_.lease_s * model::kDriftAllowance + model::kAllowanceS) {
+  if (now > machine.lease.surely_over_at(settings_.lease_s)) {
     if (!machine.confirmed) {
       log_->debug("machine {}: unconfirmed and its lease has run out", machine.host.value);
       machine.confirmed = true;
@@ -588,9 +587,9 @@
   }
   const bool heard_since = machine.last_contact > machine.doubt_at;
   for (const auto& [member, bind] : machine.binds)
-    doubtful_ = doubtful_ || (heard_since && bind.stopping && bind.doubt.value == term_);
+    doubtful_ = doubtful_ || (heard_since && bind.stopping && bind.starts.in_doubt(wire::Fence{term_}));
   for (const auto& [member, leftover] : machine.leftovers)
-    doubtful_ = doubtful_ || (heard_since && leftover.doubt.value == term_);
+    doubtful_ = doubtful_ || (heard_since && leftover.starts.in_doubt(wire::Fence{term_}));
   spare(machine);
   if (machine.draining && machine.binds.empty() && machine.confirmed)
     return release(machine, machine.drain_reason);
--- a/src/leader/leader.cpp
+++ b/src/leader/leader.cpp
@@ -214,7 +214,9 @@
       if (!parsed) {
         // Invariant 29: which machines it named, and what an earlier leader started there, is not known. All
         // that was not heard by then has lost its lease.
-        blind_until_ = now + settings_.lease_s * model::kDriftAllowance + model::kAllowanceS;
+        model::Lease unread;
+        unread.renewed(now);
+        blind_until_ = unread.surely_over_at(settings_.lease_s);
         continue;
       }
       const auto& record = *parsed;
@@ -237,6 +239,7 @@
         machine.group = name;
         machine.up = machine.recorded = machine.recording = machine.inherited = true;
         machine.first_seen = machine.last_contact = machine.idle_since = now;
+        machine.lease.renewed(now);  // no earlier leader answered after the reign began
         set_size(machine);
         fleet_.refresh(machine);
         group.hosts.insert(host);
--- a/src/leader/reports.cpp
+++ b/src/leader/reports.cpp
@@ -82,7 +82,7 @@
   machine->reported = report.counter;
   // An answer with a valid fence extends the worker's lease whatever it holds: also when a direct answer has
   // overtaken the report. Else its tasks would be started elsewhere while they still run (invariant 6).
-  machine->last_answered = loop().now();
+  machine->lease.renewed(loop().now());
   if (!news) return message.reply(granted(stops_for(report, jobs_)));
   machine->hearing.answered(loop().now(), report.counter, report.tenure, wire::Fence{term_}, message.by);
   // What is placed now goes out with the answer: that spares a request and a report for each task.
@@ -110,7 +110,7 @@
   }
   machine.reported = report.counter;
   machine.last_contact = now;
-  machine.last_answered = now;  // it may be true all the same (invariant 6)
+  machine.lease.renewed(now);  // it may be true all the same (invariant 6)
   reply(granted(stops_for(report, jobs_)));
 }
 
@@ -166,8 +166,7 @@
   // A start that should be listed by now is missing: the list itself must show it (invariant 6).
   const bool awaited = std::any_of(machine.binds.begin(), machine.binds.end(), [&](const auto& entry) {
     const auto& bind = entry.second;
-    return bind.phase == BindPhase::sent &&
-           (bind.stopping || (bind.answered_counter != 0 && bind.answered_counter < report.counter));
+    return bind.phase == BindPhase::sent && (bind.stopping || bind.starts.shown_by(report.counter));
   });
   if (awaited) return false;
   const bool was_quiet = machine.quiet;
@@ -210,7 +209,7 @@
 void Leader::came_back(Machine& machine) {
   if (machine.releasing) return;
   log_->warn("machine {}: is back and has forgotten its session, returning it", machine.host.value);
-  machine.last_answered = loop().now();
+  machine.lease.renewed(loop().now());
   release(machine, "back without its session");
 }
 
@@ -266,9 +265,7 @@
     std::set<wire::MemberId> shown;
     for (const auto& member : report.members) shown.insert(member.member);
     for (auto& [member, bind] : machine.binds) {
-      if (bind.phase != BindPhase::sent || bind.answered_counter == 0 ||
-          bind.answered_counter >= report.counter)
-        continue;
+      if (bind.phase != BindPhase::sent || !bind.starts.shown_by(report.counter)) continue;
       (shown.contains(member) ? ran_start : lost_start) = true;
       if (!shown.contains(member)) bind.stopping = true;
     }
@@ -278,7 +275,7 @@
   if (session_begun && machine.tenure.value != 0) new_tenure(machine, report.tenure);
   // A session that is new to us began at some moment before now: its lease is counted from here, or a
   // direct answer would bring back a machine whose lease seems to have run out long ago.
-  if (session_begun || machine.lost) machine.last_answered = std::max(machine.last_answered, now);
+  if (session_begun || machine.lost) machine.lease.renewed(now);
   machine.tenure = report.tenure;
   if (session_begun) machine.reported = 0;
   machine.listed_counter = report.counter;
@@ -302,13 +299,10 @@
   // Invariant 6: a start that was to be taken back and never happened is over once no order for it can
   // still be on its way.
   std::vector<wire::MemberId> never_started;
+  const auto shown = direct ? std::nullopt : std::optional(report.counter);
   for (const auto& [member, bind] : machine.binds) {
-    const bool direct_over =
-        bind.directs_pending == 0 && (bind.doubt.value == 0 || bind.doubt < machine.seen);
-    const bool answer_over =
-        bind.answered_counter == 0 || (!direct && report.counter > bind.answered_counter);
-    if (bind.stopping && bind.phase == BindPhase::sent && !listed.contains(member) && direct_over &&
-        answer_over)
+    const bool none_arrives = bind.starts.directs_over(machine.seen) && bind.starts.answer_over(shown);
+    if (bind.stopping && bind.phase == BindPhase::sent && !listed.contains(member) && none_arrives)
       never_started.push_back(member);
   }
   for (const auto& member : never_started) unbind(machine, member);
@@ -393,7 +387,7 @@
   if (member.phase == MemberPhase::exited) {
     auto [entry, added] = machine.leftovers.try_emplace(member.member);
     if (!added && entry->second.try_no == member.try_no) return;
-    entry->second = Leftover{member.try_no, true, 0, {}};
+    entry->second = Leftover{member.try_no, true, {}};
     if (live && member.cause == ExitCause::done && job->second.marks[member.member.index] != model::kDone) {
       // Finished under an earlier leader, or just before its lease ran out.
       const bool elsewhere = job->second.marks[member.member.index] == model::kBound;
@@ -476,7 +470,7 @@
 void Leader::exited(Machine& machine, const wire::MemberReport& member) {
   const auto found = machine.binds.find(member.member);
   const Bind bind = found->second;
-  Leftover leftover{member.try_no, true, bind.directs_pending, bind.doubt};
+  Leftover leftover{member.try_no, true, bind.starts};
   unbind(machine, member.member);
   const auto job = jobs_.find(member.member.job);
   const bool live = job != jobs_.end() && job->second.live() && !bind.alien;
@@ -602,9 +596,7 @@
   std::vector<Order> forgets;
   for (auto& [member, leftover] : machine.leftovers) {
     // Invariant 7: a start of this attempt that is still on its way would start it once more.
-    const bool safe = leftover.stored && leftover.directs_pending == 0 &&
-                      (leftover.doubt.value == 0 || leftover.doubt < machine.seen);
-    if (safe && forgets.size() < kMaxOrders / 2)
+    if (leftover.stored && leftover.starts.directs_over(machine.seen) && forgets.size() < kMaxOrders / 2)
       forgets.push_back({Verb::forget, member, leftover.try_no, 0});
   }
   std::vector<Order> orders;
@@ -614,7 +606,7 @@
       orders.push_back({Verb::stop, member, bind.try_no, bind.wind_down_s});
     } else if (bind.phase == BindPhase::sent && machine.takes_tasks()) {
       orders.push_back({Verb::start, member, bind.try_no, 0});
-      bind.answered_counter = answered_counter;
+      bind.starts.sent_with_answer(answered_counter);
     }
   }
   // The worker reports again when it has forgotten something: that can wait for orders or the next regular
@@ -630,7 +622,7 @@
     return;
   }
   for (const auto& order : orders)
-    if (order.verb == Verb::start) ++machine.binds.at(order.member).directs_pending;
+    if (order.verb == Verb::start) machine.binds.at(order.member).starts.sent_directly();
   const wire::Fence fence{term_};
   // A machine whose session is not known yet answers 409 with its report, which tells it.
   const auto tenure = std::max<std::uint64_t>(1, machine.tenure.value);
@@ -661,12 +653,10 @@
     if (order.verb != Verb::start) continue;
     if (const auto bind = machine.binds.find(order.member);
         bind != machine.binds.end() && bind->second.try_no == order.try_no) {
-      --bind->second.directs_pending;
-      if (!certain) bind->second.doubt = std::max(bind->second.doubt, fence);
+      bind->second.starts.direct_ended(fence, certain);
     } else if (const auto left = machine.leftovers.find(order.member);
                left != machine.leftovers.end() && left->second.try_no == order.try_no) {
-      left->second.directs_pending = std::max(0, left->second.directs_pending - 1);
-      if (!certain) left->second.doubt = std::max(left->second.doubt, fence);
+      left->second.starts.direct_ended(fence, certain);
     }
     if (!certain) machine.doubt_at = loop().now();
   }
--- a/src/model/machine.hpp
+++ b/src/model/machine.hpp
@@ -10,6 +10,7 @@
 #include <utility>
 
 #include "model/hearing.hpp"
+#include "model/surely_gone.hpp"
 #include "wire/records.hpp"
 
 namespace bankhill::model {
@@ -35,20 +36,14 @@
   double wind_down_s = 0;
   double since = 0;  // steady clock: when it was bound
   double running_since = 0;
-  // A start sent straight to the worker may arrive late while it is unanswered, and for as long as the
-  // worker has not seen a fence above the one it was sent with.
-  int directs_pending = 0;
-  wire::Fence doubt;  // 0: none
-  // The report whose answer last carried the start; a later report shows whether it was executed.
-  std::uint64_t answered_counter = 0;
+  StartsUnderWay starts;
 };
 
 // An exited attempt that the worker still lists.
 struct Leftover {
   wire::TryNo try_no;
   bool stored = true;  // its exit needs no store, or is in the store
-  int directs_pending = 0;
-  wire::Fence doubt;
+  StartsUnderWay starts;
 };
 
 // Running sums over machines, of a pool, a zone or all.
@@ -102,9 +97,9 @@
   std::uint64_t listed_counter = 0;  // of the last report whose list of tasks was applied
   std::uint64_t reported = 0;        // of the last report of this session, direct answers aside
   wire::Fence seen;
-  double first_seen = 0;     // steady clock
-  double last_contact = 0;   // last new report or direct answer
-  double last_answered = 0;  // last report answered: its lease cannot reach beyond lease_s from here
+  double first_seen = 0;    // steady clock
+  double last_contact = 0;  // last new report or direct answer
+  Lease lease;              // as lengthened by answers at most
   double last_report = 0;
   bool regular = true;  // its last report came in its turn, not for a change
   double last_probe = 0;
--- /dev/null
+++ b/src/model/surely_gone.hpp
@@ -0,0 +1,59 @@
+// When what was ordered on a machine is surely over (docs/SAFETY.md, invariants 5, 6 and 7): the one count of
+// a worker's lease, and of the starts that may still arrive there. Where nothing is known both take the
+// worst. Units: seconds on the leader's steady clock. Errors: none. Source: PROTOCOL, "Leases", "Tokens" and
+// "Delayed messages".
+#pragma once
+
+#include <algorithm>
+#include <cstdint>
+#include <optional>
+
+#include "model/cancel_budget.hpp"
+#include "wire/ids.hpp"
+
+namespace bankhill::model {
+
+// A worker's lease counts from when it sent a report that was answered, so at the latest from the answer. A
+// machine that hangs goes on within its lease or not at all; an answer that waits in its socket was counted
+// when it was given.
+class Lease {
+ public:
+  // It may have been lengthened until now: an answer, a session that began unseen, an earlier leader.
+  void renewed(double now) { renewed_ = std::max(renewed_, now); }
+  // From here on the tasks of this session are gone, whatever cannot be reached or hangs.
+  double surely_over_at(double lease_s) const { return renewed_ + lease_s * kDriftAllowance + kAllowanceS; }
+
+ private:
+  double renewed_ = 0;
+};
+
+// Starts of one attempt that were sent and may still be executed.
+class StartsUnderWay {
+ public:
+  void sent_directly() { ++unanswered_; }
+  // A direct start was answered, or given up and may arrive as long as its fence is not below what the worker
+  // has seen.
+  void direct_ended(wire::Fence fence, bool answered) {
+    unanswered_ = std::max(0, unanswered_ - 1);
+    if (!answered) doubt_ = std::max(doubt_, fence);
+  }
+  // The answer to the report of this counter carried it.
+  void sent_with_answer(std::uint64_t counter) { answered_counter_ = counter; }
+  // Whether this report, not a direct answer, was sent after the worker had that answer, or lost it.
+  bool shown_by(std::uint64_t counter) const { return answered_counter_ != 0 && answered_counter_ < counter; }
+  bool directs_over(wire::Fence seen) const {
+    return unanswered_ == 0 && (doubt_.value == 0 || doubt_ < seen);
+  }
+  // Nothing: a direct answer, which shows nothing of it.
+  bool answer_over(std::optional<std::uint64_t> counter) const {
+    return answered_counter_ == 0 || (counter && shown_by(*counter));
+  }
+  bool in_doubt(wire::Fence fence) const { return doubt_ == fence; }
+
+ private:
+  int unanswered_ = 0;
+  wire::Fence doubt_;  // 0: none
+  std::uint64_t answered_counter_ = 0;
+};
+
+}  // namespace bankhill::model
