--- a/src/leader/fleet.cpp
+++ b/src/leader/fleet.cpp
@@ -266,7 +266,8 @@
           planner::allows(item.flavors, offers[i].flavor.name) &&
           offers[i].flavor.rate < offers[smallest].flavor.rate)
         smallest = i;
-    rent(offers[smallest], false, 1);
+    // In its zone: elsewhere none is of use to it, and while its zone had none others were rented in vain.
+    rent(offers[smallest], false, 1, job.spec.rack_room.value_or(""));
   }
   rent_for_replicas(offers);
 }
--- a/tests/meetings_zones_test.cpp
+++ b/tests/meetings_zones_test.cpp
@@ -189,5 +189,48 @@
                          testing::Combine(testing::Values(3, 5), testing::Bool(), testing::Bool(),
                                           testing::Bool()));
 
+// ---- jobs of one zone that lose machines
+
+// All or most of a zone's machines die, and the cloud has none there for a while: what is bound to the zone
+// waits and holds up nobody else, then gets others there.
+class LostZone : public testing::TestWithParam<std::tuple<int, bool, double>> {};
+
+TEST_P(LostZone, JobsBoundToItGetOthersThere) {
+  const auto [controllers, out, share] = GetParam();
+  World world(static_cast<std::uint64_t>(7 * controllers + 2 * out + static_cast<int>(4 * share)),
+              controllers);
+  world.large_offered = false;
+  world.most_machines = 30;
+  world.run(5);
+  world.submit(bound_to("zb", kept_batch(6, 1, 40)));
+  world.submit(bound_to("zb", kept_batch(3, 3, 40)));
+  world.submit(bound_to("zb", kept_service(2, 1)));
+  world.submit(together(kept_batch(5, 2, 40)));
+  world.submit(bound_to("zb", together(kept_batch(4, 1, 40))));
+  world.submit(scattered(kept_batch(6, 1, 40)));
+  world.run(45);
+  const double begin = world.now();
+  world.kill_zone("zb", share);
+  if (out) world.zone_stockout("zb", 60);
+  // Further ones for the zone, and for any: the latter must not wait for the former.
+  std::vector<std::string> any;
+  for (int i = 0; i < 10; ++i)
+    world.at(begin + 1 + 4 * i, [&world, &any, i] {
+      if (i % 2 == 0)
+        any.push_back(world.submit(kept_batch(2, 1, 5)));
+      else
+        world.submit(bound_to("zb", i % 4 == 1 ? kept_batch(8, 1, 10) : together(kept_batch(3, 2, 10))));
+    });
+  world.run(begin + 60);
+  for (const auto& uid : any) {
+    EXPECT_TRUE(world.jobs().at(uid).told_done) << uid << " waited for those of the zone";
+  }
+  world.run(begin + 260);
+  expect_all_done(world);
+}
+
+INSTANTIATE_TEST_SUITE_P(Seeds, LostZone,
+                         testing::Combine(testing::Values(3, 5), testing::Bool(), testing::Values(0.6, 1.0)));
+
 }  // namespace
 }  // namespace bankhill::sim
--- a/tests/sim/meetings.cpp
+++ b/tests/sim/meetings.cpp
@@ -176,7 +176,7 @@
     tell(what + (of_one ? " " + name : "") + " for " + text(seconds) + " s");
   };
   const std::string how = held ? ", packets held," : "";
-  switch (world_.pick(20)) {
+  switch (world_.pick(24)) {
     case 0:
     case 1:
       say("the state service refuses");
@@ -251,12 +251,35 @@
       knob = chosen;
       return world_.at(world_.now() + seconds, [&knob] { knob = -1; });
     }
+    case 19:
+    case 20:
+      say("mute machines", false);
+      return world_.mute_machines(world_.uniform(0.3, 1), seconds, world_.chance(0.5) ? "" : zone);
+    case 21:
+      say(std::string(zone) + " is cut off" + how + " with");
+      return world_.cut_zone(zone, chosen, seconds, held);
+    case 22: {
+      const double most = world_.uniform(0.5, 5);
+      say("up to " + text(most) + " s for half of what goes to and from machines", false);
+      return slow_links(most, seconds);
+    }
     default:
       say("copies of reports", false);
       return world_.copies_come(world_.uniform(0.02, 0.5), seconds);
   }
 }
 
+void MeetingDay::slow_links(double most, double seconds) {
+  world_.held_up = [this, most, until = world_.now() + seconds](const std::string& from,
+                                                                const std::string& to, const std::string&) {
+    const auto of_workers = [](const std::string& end) {
+      return end.starts_with("n-") || end.starts_with("workers-");
+    };
+    if (over_ || world_.now() >= until || !(of_workers(from) || of_workers(to))) return 0.0;
+    return world_.chance(0.5) ? world_.uniform(0, most) : 0.0;
+  };
+}
+
 // ---- the end
 
 std::vector<std::string> MeetingDay::left_over() {
--- a/tests/sim/meetings.hpp
+++ b/tests/sim/meetings.hpp
@@ -29,6 +29,7 @@
   double length();
   int target(int node);
   void trouble(int node);
+  void slow_links(double most, double seconds);
   void tell(const std::string& text);
   std::vector<std::string> left_over();
 
