--- a/tests/sim/meetings.cpp
+++ b/tests/sim/meetings.cpp
@@ -217,13 +217,7 @@
     tell(what + (of_one ? " " + name : "") + " for " + text(seconds) + " s");
   };
   const std::string how = held ? ", packets held," : "";
-  switch (world_.pick(21)) {
-    case 20: {
-      const double hang = world_.chance(0.6) ? seconds : 0;
-      const int jobs = world_.cancel_now(2 + world_.pick(8), hang);
-      return tell(std::to_string(jobs) + " running jobs called off" +
-                  (hang > 0 ? ", their machines hang for " + text(hang) + " s" : ""));
-    }
+  switch (world_.pick(25)) {
     case 0:
     case 1:
       say("the state service refuses");
@@ -298,12 +292,41 @@
       knob = chosen;
       return world_.at(world_.now() + seconds, [&knob] { knob = -1; });
     }
+    case 19:
+    case 20:
+      say("mute machines", false);
+      return world_.mute_machines(world_.uniform(0.3, 1), seconds, world_.chance(0.5) ? "" : zone);
+    case 21:
+      say(std::string(zone) + " is cut off" + how + " with");
+      return world_.cut_zone(zone, chosen, seconds, held);
+    case 22: {
+      const double most = world_.uniform(0.5, 5);
+      say("up to " + text(most) + " s for half of what goes to and from machines", false);
+      return slow_links(most, seconds);
+    }
+    case 23: {
+      const double hang = world_.chance(0.6) ? seconds : 0;
+      const int jobs = world_.cancel_now(2 + world_.pick(8), hang);
+      return tell(std::to_string(jobs) + " running jobs called off" +
+                  (hang > 0 ? ", their machines hang for " + text(hang) + " s" : ""));
+    }
     default:
       say("copies of reports", false);
       return world_.copies_come(world_.uniform(0.02, 0.5), seconds);
   }
 }
 
+void MeetingDay::slow_links(double most, double seconds) {
+  world_.held_up = [this, most, until = world_.now() + seconds](const std::string& from,
+                                                                const std::string& to, const std::string&) {
+    const auto of_workers = [](const std::string& end) {
+      return end.starts_with("n-") || end.starts_with("workers-");
+    };
+    if (over_ || world_.now() >= until || !(of_workers(from) || of_workers(to))) return 0.0;
+    return world_.chance(0.5) ? world_.uniform(0, most) : 0.0;
+  };
+}
+
 // ---- the end
 
 std::vector<std::string> MeetingDay::left_over() {
--- a/tests/sim/meetings.hpp
+++ b/tests/sim/meetings.hpp
@@ -31,6 +31,7 @@
   void trouble(int node);
   void trouble_of_reports();
   void draw_machines();
+  void slow_links(double most, double seconds);
   void tell(const std::string& text);
   std::vector<std::string> left_over();
 
