tests: teams at their limits have free machines at hand, late jobs and a cloud that is out

Cause: room freed too early, use not counted and half a lease were not seen by AtTheLimit: what waited had no machine to start on, jobs of before the win wait anyway, and machines that hang were returned. Change: eight idle machines, jobs that come after the change, on half of the draws a cloud that is out. CancelledEarly asserts that something started.

--- a/tests/meetings_limits_test.cpp
+++ b/tests/meetings_limits_test.cpp
@@ -224,6 +224,7 @@
   world.run(world.now() + 2 * kCancel);
   EXPECT_TRUE(world.broken().empty()) << listing(world.broken());
   EXPECT_GT(cancelled, 20);
+  EXPECT_GT(world.starts(), 20U);
   const auto& starts = world.cancelled_starts();
   EXPECT_EQ(starts.knowable, 0U) << "of " << starts.all;
   EXPECT_EQ(starts.ordered_after, 0U) << "of " << starts.all;
@@ -255,6 +256,19 @@
     }
     world.run(world.now() + 3);
   }
+  // Room that nothing but the limits keeps from what waits: else each start waits for a machine that boots.
+  void add_machines(int count) {
+    for (int i = 0; i < count; ++i) stray(world);
+    world.run(world.now() + 2 * kDefault.report_s);
+  }
+  // Jobs that no earlier leader can have started: a new leader may place them before all machines are
+  // confirmed.
+  void submit_more(double from_s, double to_s) {
+    for (double at = from_s; at < to_s; at += 2)
+      world.at(at, [this] {
+        for (const char* owner : {"red", "blue"}) world.submit(whole_machine(owner));
+      });
+  }
   void submit(const std::string& owner) { running.push_back(world.submit(whole_machine(owner))); }
   bool full() {
     return cores_on(world, "red", kLease) == kRedLimit && cores_on(world, "blue", kLease) == kBlueLimit;
@@ -299,9 +313,13 @@
   auto& world = site.world;
   ASSERT_TRUE(site.full()) << cores_on(world, "red", kLease) << " " << cores_on(world, "blue", kLease);
   const auto draw = static_cast<unsigned>(std::get<1>(GetParam()));
+  site.add_machines(8);
   std::vector<std::string> cancelled;
   const double unreached_s = kLease * std::array{0.5, 0.9, 1.0, 1.6}[draw % 4];
   const double asked = world.now() + 1;
+  site.submit_more(asked, asked + 8);
+  // The leader can't return what it does not reach: the lease alone tells when the tasks are gone.
+  if (draw % 8 >= 4) world.cloud_outage(2 * kLease);
   for (const auto& [uid, host] : site.victims(8)) {
     cancelled.push_back(uid);
     world.at(asked - world.uniform(0, 0.4), [&world, draw, unreached_s, host = host] {
@@ -326,6 +344,8 @@
   auto& world = site.world;
   ASSERT_TRUE(site.full());
   const auto draw = static_cast<unsigned>(std::get<1>(GetParam()));
+  site.add_machines(8);
+  if (draw % 8 >= 4) world.cloud_outage(2 * kLease);
   std::vector<std::string> cancelled;
   const auto victims = site.victims(10);
   for (std::size_t i = 0; i < victims.size(); ++i)
@@ -335,6 +355,7 @@
   site.end_reign(draw % 2 == 0 ? 0 : 3, 3);
   ASSERT_TRUE(until(world, 30, [&] { return world.leader() >= 0; }));
   const double led = world.now();
+  site.submit_more(led, led + 8);
   for (const auto& [uid, host] : victims) {
     cancelled.push_back(uid);
     world.at(led + world.uniform(0, 0.3 * kLease), [&world, uid = uid] { world.cancel(uid); });
