--- a/src/leader/fleet.cpp
+++ b/src/leader/fleet.cpp
@@ -266,7 +266,7 @@
           planner::allows(item.flavors, offers[i].flavor.name) &&
           offers[i].flavor.rate < offers[smallest].flavor.rate)
         smallest = i;
-    // In its zone: elsewhere none is of use to it, and while its zone had none others were rented in vain.
+    // Elsewhere none is of use to it.
     rent(offers[smallest], false, 1, job.spec.rack_room.value_or(""));
   }
   rent_for_replicas(offers);
@@ -524,7 +524,6 @@
   machine.reporting = silence().reporting(unreported(machine));
   if (machine.reporting == before) return;
   fleet_.refresh(machine);
-  // It has had no chance to be of use, as one that hears again.
   if (machine.reporting == model::Reporting::comes && machine.binds.empty())
     machine.idle_since = loop().now();
   place_soon();
--- a/src/queue/made_room.hpp
+++ b/src/queue/made_room.hpp
@@ -18,8 +18,8 @@
   void placed(const wire::JobId& job, const wire::HostId& host, bool more);
   // The job needs none any more.
   void release(const wire::JobId& job);
-  // Over slow links a stop and its news take longer than a pace: made again meanwhile on the next machine, and
-  // the next, one batch stopped what it needed several times over.
+  // Over slow links a stop and its news take longer than a pace: made again meanwhile on the next machine,
+  // and the next, one batch stopped what it needed several times over.
   bool on_its_way(const wire::JobId& job, double now) const;
   bool made(const wire::HostId& host, double now) const;
   // Whether a task of another job may start in what is free there: in what is left, or before lower ranks.
