--- a/tests/meetings_users_test.cpp
+++ b/tests/meetings_users_test.cpp
@@ -151,7 +151,8 @@
 
 // Guards against an answer older than one that another controller gave a millisecond before: jobs are
 // accepted, end and are cancelled while their users ask everywhere at once. One read barrier serves all that
-// waited for it, so the state service's limit holds, however many look.
+// waited for it, and repeated submissions do not spend puts on conditions that fail, so the state service's
+// limits hold, however many look.
 TEST_P(UsersMeeting, AskEverywhereAtOnce) {
   for (const int jobs : {20, 200}) {
     SCOPED_TRACE(std::to_string(jobs) + " jobs");
@@ -175,6 +176,7 @@
     EXPECT_GE(cancelled, jobs / 10);
     EXPECT_TRUE(world.broken().empty()) << listing(world.broken());
     EXPECT_EQ(world.requests_refused, 0U);
+    EXPECT_EQ(world.puts_refused, 0U);
     EXPECT_LT(most(world.state_requests(), 20), 300U);
     std::printf(
         "%d jobs, %d controllers: %llu questions, at most %llu requests a second, %llu puts refused\n", jobs,
@@ -232,6 +234,35 @@
   }
 }
 
+// Guards against a withdrawal that looked before the end was stored and is stored after it: it is sent while
+// the leader's transaction with `done` is on its way.
+TEST_P(UsersMeeting, AWithdrawalMeetsTheStoringOfDone) {
+  int met = 0;
+  World world(95, GetParam());
+  world.run(10);
+  world.submit(kept_service(1, 1));
+  world.run(30);
+  world.held_up = [&](const std::string&, const std::string& to, const std::string& body) {
+    if (to != "state" || body.find("\"done\"") == std::string::npos) return 0.0;
+    for (const auto& [uid, job] : world.jobs()) {
+      if (job.completed_at == 0 || job.cancel_asked || body.find(uid) == std::string::npos) continue;
+      ++met;
+      for (int i = 0; i < 3; ++i)
+        world.at(world.now() + 0.002 * i, [&world, uid = uid] { world.cancel(uid); });
+    }
+    return world.uniform(0.002, 0.06);
+  };
+  for (int i = 0; i < 40; ++i)
+    world.at(world.now() + 0.5 * i, [&world] {
+      auto job = batch(1, 2);
+      job.spec.need.cores = 0.2;
+      world.submit(job);
+    });
+  world.run(70);
+  EXPECT_GE(met, 20);
+  EXPECT_TRUE(world.broken().empty()) << listing(world.broken());
+}
+
 // ---- many small jobs
 
 std::size_t heap_in_use() { return mallinfo2().uordblks + mallinfo2().hblkhd; }
