leader: a machine takes tasks once a report of its session was answered; one that waits for its record counts as joining

Cause: a new leader sent starts to machines that had answered its question, though no report of their session had been answered: commands do not renew a lease, and where nobody had been there for long it ended a moment later. And a machine that was up and not recorded yet counted neither as coming nor as room, so one more was rented. Change: Machine::takes_tasks asks for an answered report of the session; Sums::joining.

--- a/src/leader/fleet.cpp
+++ b/src/leader/fleet.cpp
@@ -259,7 +259,7 @@
     const bool coming = std::any_of(fleet_.pools().begin(), fleet_.pools().end(), [&](const auto& entry) {
       const auto& [pool, state] = entry;
       if (!model::allows(job.spec, pool)) return false;
-      if (state.sums.coming > 0 && job.spec.need.fits(state.size)) return true;
+      if (state.sums.coming + state.sums.joining > 0 && job.spec.need.fits(state.size)) return true;
       // A machine that its tasks failed on takes no more of it: where all have, it waited for ever.
       const auto* roomiest = state.open.empty() ? nullptr : state.open.rbegin()->machine;
       return roomiest != nullptr && job.spec.need.fits(roomiest->room()) &&
--- a/src/leader/reports.cpp
+++ b/src/leader/reports.cpp
@@ -79,7 +79,7 @@
     return undated(*machine, report, message.reply);
   if (!brief) came_up(*machine, report, true);
   const bool news = brief || apply(*machine, report, &message.by);
-  machine->reported = report.counter;
+  if (fleet_.reported(*machine, report.counter)) place_soon();
   // An answer with a valid fence extends the worker's lease whatever it holds: also when a direct answer has
   // overtaken the report. Else its tasks would be started elsewhere while they still run (invariant 6).
   machine->last_answered = loop().now();
--- a/src/model/fleet.cpp
+++ b/src/model/fleet.cpp
@@ -4,6 +4,7 @@
 #include <cmath>
 #include <optional>
 #include <tuple>
+#include <utility>
 
 namespace bankhill::model {
 
@@ -18,6 +19,7 @@
   from.quiet -= what.quiet;
   from.deaf -= what.deaf;
   from.coming -= what.coming;
+  from.joining -= what.joining;
   from.unconfirmed -= what.unconfirmed;
   from.unconfirmed_size -= what.unconfirmed_size;
   from.cores -= what.cores;
@@ -32,6 +34,10 @@
   part.quiet = machine.up && machine.quiet ? 1 : 0;
   part.deaf = machine.up && !machine.quiet && !machine.hearing.takes_tasks() ? 1 : 0;
   part.coming = !machine.up && !machine.late && stays ? 1 : 0;
+  part.joining = machine.up && stays && !machine.quiet && !machine.lost && machine.hearing.takes_tasks() &&
+                         !machine.takes_tasks()
+                     ? 1
+                     : 0;
   if (machine.inherited && !machine.confirmed) {
     part.unconfirmed = 1;
     part.unconfirmed_size = machine.size;
@@ -49,6 +55,7 @@
   quiet += other.quiet;
   deaf += other.deaf;
   coming += other.coming;
+  joining += other.joining;
   unconfirmed += other.unconfirmed;
   unconfirmed_size += other.unconfirmed_size;
   cores += other.cores;
@@ -110,6 +117,12 @@
   listed.reset();
 }
 
+bool Fleet::reported(Machine& machine, std::uint64_t counter) {
+  const bool first = std::exchange(machine.reported, counter) == 0;
+  if (first) refresh(machine);
+  return first;
+}
+
 void Fleet::refresh(Machine& machine) {
   unlist(machine);
   const auto pool = pools_.try_emplace({machine.flavor, machine.rack_room, machine.reclaimable}).first;
--- a/src/model/machine.hpp
+++ b/src/model/machine.hpp
@@ -57,6 +57,7 @@
   std::size_t quiet = 0;        // up, not heard for longer than reports take
   std::size_t deaf = 0;         // up and not quiet, suspected or known not to hear
   std::size_t coming = 0;       // rented, not up yet, and still expected
+  std::size_t joining = 0;      // up, and about to take tasks: not recorded yet, or not asked or answered
   std::size_t unconfirmed = 0;  // inherited from an earlier leader, not heard in this reign
   wire::Amounts unconfirmed_size;
   double cores = 0;       // of machines that are up or coming and stay, without those that are deaf
@@ -140,8 +141,11 @@
     if (lost) return {wire::Tenure{tenure.value - 1}, listed_counter};
     return {tenure, std::max(counter, reported)};
   }
+  // Not before a report of its session was answered in this reign: until then its lease may end at any
+  // moment, as commands do not renew it, and take with it what was only just started.
   bool takes_tasks() const {
-    return up && recorded && confirmed && !lost && !draining && !releasing && hearing.takes_tasks();
+    return up && recorded && confirmed && reported != 0 && !lost && !draining && !releasing &&
+           hearing.takes_tasks();
   }
 };
 
--- a/tests/meetings_machines_test.cpp
+++ b/tests/meetings_machines_test.cpp
@@ -204,9 +204,11 @@
     end_leader(world, how);
     ASSERT_TRUE(until(world, 20, [&] { return world.leader() >= 0 && term(world) > before; }));
     world.run(world.now() + 3);
+    const auto rented = world.machines().size();
     EXPECT_EQ(world.carry_out_held().status, 409);
     until(world, 120, [&] { return all_done(world); });
     EXPECT_EQ(world.starts(), 6U);
+    EXPECT_EQ(world.machines().size(), rented) << "rented once more";
     for (const auto& [key, entry] : world.keys())
       EXPECT_FALSE(key.starts_with(wire::kRentals)) << key << " is not settled";
     expect_well(world, "");
@@ -398,5 +400,71 @@
   expect_well(world, "");
 }
 
+// ---- nobody there for longer than a lease
+
+enum class Away { crash, outage };
+class NobodyThere : public testing::TestWithParam<std::tuple<int, Away>> {};
+INSTANTIATE_TEST_SUITE_P(Controllers, NobodyThere,
+                         testing::Combine(testing::Values(3, 5), testing::Values(Away::crash, Away::outage)));
+
+// All tasks were killed by their leases. None of them is taken for running, none is started twice or lost to
+// a lease that ends at once, and the machines that are there are used again, none rented in their place.
+TEST_P(NobodyThere, ForLongerThanALease) {
+  const auto [controllers, how] = GetParam();
+  int seed = 600;
+  for (const double away : {1.15, 2.0, 4.0})
+    for (const bool hung : {false, true}) {
+      const auto about = "seed " + std::to_string(++seed) + ", " + std::to_string(away) + " leases";
+      World world(static_cast<std::uint64_t>(seed), controllers);
+      world.large_offered = false;
+      world.most_machines = 4;
+      world.unowned_limit_s = 30;
+      world.run(5);
+      const auto service = world.submit(small_service(3, 1));
+      const auto long_job = world.submit(small_batch(8, 1, 100));
+      const auto short_job = world.submit(small_batch(2, 1, 5));
+      ASSERT_TRUE(until(world, 90, [&] {
+        return running(world) == 11 && all_done(world) == false && world.jobs().at(short_job).told_done;
+      })) << about;
+      world.run(world.now() + 3);
+      const auto starts = world.starts();
+      std::set<std::string> hosts;
+      for (const auto& [host, machine] : world.machines()) hosts.insert(host);
+      const double gone = away * kLease;
+      // Some hang over the end of their leases, and for a while under the next leader.
+      if (hung) world.hang_machines(0.5, gone + 3);
+      if (how == Away::crash)
+        for (int node = 0; node < world.nodes(); ++node) world.crash(node, gone);
+      else
+        world.state_outage(gone);
+      world.run(world.now() + gone - 0.1);
+      EXPECT_EQ(running(world), 0U) << about;
+      EXPECT_EQ(world.starts(), starts) << about;
+      const double back = world.now() + 0.1;
+      // From 3 s after they are back, or a machine has gone on, the lag of a state, nothing is told to run
+      // that does not.
+      std::size_t told_wrong = 0;
+      for (double asked = hung ? 6.5 : 3.5; asked < 8; asked += 0.5) {
+        world.run(back + asked);
+        const auto answer = world.ask(0, {net::Method::get, "/submissions/" + long_job, ""});
+        if (answer.status != 200) continue;
+        std::size_t on = 0;
+        for (const auto& [host, machine] : world.machines())
+          for (const auto& [member, task] : machine.tasks) on += member.job.value == long_job;
+        told_wrong += wire::Json::parse(answer.body)["running"].get<std::size_t>() > on;
+      }
+      EXPECT_EQ(told_wrong, 0U) << about;
+      const double within = (hung ? kLease : 0) + 14;
+      EXPECT_TRUE(until(world, back + within - world.now(), [&] { return running(world) == 11; }))
+          << about << ": " << running(world) << " run";
+      EXPECT_EQ(world.starts(), starts + 11) << about;
+      EXPECT_EQ(world.jobs().at(service).completed.size(), 0U);
+      for (const auto& [host, machine] : world.machines())
+        EXPECT_TRUE(hung || hosts.contains(host)) << about << ": " << host << " was rented";
+      EXPECT_TRUE(until(world, 130, [&] { return all_done(world); })) << about;
+      expect_well(world, about);
+    }
+}
+
 }  // namespace
 }  // namespace bankhill::sim
