--- a/src/leader/leader.cpp
+++ b/src/leader/leader.cpp
@@ -194,6 +194,7 @@
   queue_.reset();
   replicas_.clear();
   kept_room_.reset();
+  made_room_.reset();
   outlook_.clear();
   asking_ = 0;
   unanswered_ = sample_out_ = 0;
@@ -214,7 +215,9 @@
       if (!parsed) {
         // Invariant 29: which machines it named, and what an earlier leader started there, is not known. All
         // that was not heard by then has lost its lease.
-        blind_until_ = now + settings_.lease_s * model::kDriftAllowance + model::kAllowanceS;
+        model::Lease unread;
+        unread.renewed(now);
+        blind_until_ = unread.surely_over_at(settings_.lease_s);
         continue;
       }
       const auto& record = *parsed;
@@ -237,6 +240,7 @@
         machine.group = name;
         machine.up = machine.recorded = machine.recording = machine.inherited = true;
         machine.first_seen = machine.last_contact = machine.idle_since = now;
+        machine.lease.renewed(now);  // no earlier leader answered after the reign began
         set_size(machine);
         fleet_.refresh(machine);
         group.hosts.insert(host);
@@ -402,6 +406,7 @@
   live_.erase(job.spec.uid);
   queue_.leave(job.spec.uid);
   kept_room_.release(job.spec.uid);
+  made_room_.release(job.spec.uid);
   if (reigning_) {
     replicas_.leave(job.spec.uid);
     stop_all(job);
--- a/src/model/machine.hpp
+++ b/src/model/machine.hpp
@@ -10,6 +10,8 @@
 #include <utility>
 
 #include "model/hearing.hpp"
+#include "model/silence.hpp"
+#include "model/surely_gone.hpp"
 #include "wire/records.hpp"
 
 namespace bankhill::model {
@@ -35,20 +37,14 @@
   double wind_down_s = 0;
   double since = 0;  // steady clock: when it was bound
   double running_since = 0;
-  // A start sent straight to the worker may arrive late while it is unanswered, and for as long as the
-  // worker has not seen a fence above the one it was sent with.
-  int directs_pending = 0;
-  wire::Fence doubt;  // 0: none
-  // The report whose answer last carried the start; a later report shows whether it was executed.
-  std::uint64_t answered_counter = 0;
+  StartsUnderWay starts;
 };
 
 // An exited attempt that the worker still lists.
 struct Leftover {
   wire::TryNo try_no;
   bool stored = true;  // its exit needs no store, or is in the store
-  int directs_pending = 0;
-  wire::Fence doubt;
+  StartsUnderWay starts;
 };
 
 // Running sums over machines, of a pool, a zone or all.
@@ -57,6 +53,7 @@
   std::size_t quiet = 0;        // up, not heard for longer than reports take
   std::size_t deaf = 0;         // up and not quiet, suspected or known not to hear
   std::size_t coming = 0;       // rented, not up yet, and still expected
+  std::size_t joining = 0;      // up, and about to take tasks: not recorded yet, or not asked or answered
   std::size_t unconfirmed = 0;  // inherited from an earlier leader, not heard in this reign
   wire::Amounts unconfirmed_size;
   double cores = 0;       // of machines that are up or coming and stay, without those that are deaf
@@ -94,6 +91,7 @@
   bool release_sent = false;
   bool late = false;   // booting for so long that it is no longer counted on
   bool quiet = false;  // not heard for longer than reports take
+  Reporting reporting = Reporting::comes;
   std::string drain_reason;
   std::string group;  // where its record is kept
 
@@ -102,11 +100,12 @@
   std::uint64_t listed_counter = 0;  // of the last report whose list of tasks was applied
   std::uint64_t reported = 0;        // of the last report of this session, direct answers aside
   wire::Fence seen;
-  double first_seen = 0;     // steady clock
-  double last_contact = 0;   // last new report or direct answer
-  double last_answered = 0;  // last report answered: its lease cannot reach beyond lease_s from here
+  double first_seen = 0;    // steady clock
+  double last_contact = 0;  // last new report or direct answer
+  Lease lease;              // as lengthened by answers at most
   double last_report = 0;
-  bool regular = true;  // its last report came in its turn, not for a change
+  double reported_at = 0;  // when any report came, one that is no news too
+  bool regular = true;     // its last report came in its turn, not for a change
   double last_probe = 0;
   std::uint32_t probes_unanswered = 0;  // in a row
   double doubt_at = 0;
@@ -140,8 +139,11 @@
     if (lost) return {wire::Tenure{tenure.value - 1}, listed_counter};
     return {tenure, std::max(counter, reported)};
   }
+  // Not before a report of its session was answered in this reign: until then its lease may end at any
+  // moment, as commands do not renew it, and take with it what was only just started.
   bool takes_tasks() const {
-    return up && recorded && confirmed && !lost && !draining && !releasing && hearing.takes_tasks();
+    return up && recorded && confirmed && reported != 0 && !lost && !draining && !releasing &&
+           reporting == Reporting::comes && hearing.takes_tasks();
   }
 };
 
--- a/tests/sim/meetings.cpp
+++ b/tests/sim/meetings.cpp
@@ -41,6 +41,16 @@
              timing_) {
   name_ = "seed " + std::to_string(seed) + ", " + std::to_string(world_.nodes()) + " controllers, " +
           text(timing_.report_s) + "/" + text(timing_.lease_s) + "/" + text(timing_.cancel_s);
+  draw_machines();
+}
+
+// On some days machines are up within two seconds of their rental, or the cloud's lists are late.
+void MeetingDay::draw_machines() {
+  world_.unowned_limit_s = kOverLeases * timing_.lease_s;
+  if (world_.chance(0.5)) world_.quick_boots = world_.uniform(0.3, 1);
+  world_.lists_lag = world_.chance(0.5);
+  if (world_.quick_boots > 0) name_ += ", quick boots";
+  if (world_.lists_lag) name_ += ", late lists";
 }
 
 void MeetingDay::tell(const std::string& what) { story_.push_back(text(world_.now()) + " " + what); }
@@ -48,6 +58,7 @@
 std::vector<std::string> MeetingDay::play() {
   for (int node = 0; node < world_.nodes(); ++node) world_.crash(node, 0);
   world_.run(5);
+  habits();
   load();
   world_.run(kFirst);
   for (int meetings = 6 + world_.pick(5); meetings > 0; --meetings) {
@@ -105,6 +116,23 @@
   }
 }
 
+// Beside those that come with troubles: of the whole day.
+void MeetingDay::habits() {
+  constexpr double kAllDay = 1e6;  // ended by `heal`
+  if (world_.chance(0.2)) {
+    tell("users look closely");
+    world_.close_looks(kAllDay, world_.uniform(0, 0.5));
+  }
+  if (world_.chance(0.2)) {
+    tell("odd requests");
+    world_.odd_requests(kAllDay);
+  }
+  if (world_.chance(0.2)) {
+    tell("cancellations at the end");
+    world_.cancel_at_end(world_.uniform(0.1, 0.5), kAllDay);
+  }
+}
+
 // ---- troubles
 
 void MeetingDay::meet() {
@@ -165,8 +193,39 @@
   return kind < 0.8 ? node : world_.pick(world_.nodes());
 }
 
+// Old reports that meet a new leader, who may be made for it.
+void MeetingDay::trouble_of_reports() {
+  const double share = world_.chance(0.3) ? 1 : world_.uniform(0.1, 0.8);
+  const double sent = timing_.lease_s * world_.uniform(0.1, 5);
+  const double after = world_.chance(0.5) ? world_.uniform(0, 4) : timing_.lease_s * world_.uniform(0, 1.5);
+  const bool everywhere = world_.chance(0.5);
+  switch (world_.pick(3)) {
+    case 0:
+      tell("copies of " + text(share) + " of the last " + text(sent) +
+           " s of reports come with the next win" + (everywhere ? ", everywhere" : ""));
+      world_.copies_at_win(share, world_.now() - sent, after, everywhere);
+      break;
+    case 1:
+      tell("copies of " + text(share) + " of the reports from now on come with the next win" +
+           (everywhere ? ", everywhere" : ""));
+      world_.copies_at_win(share, world_.now(), after, everywhere);
+      break;
+    default: {
+      const double held = length();
+      tell("reports, " + text(share) + " of " + text(held) + " s, held until " + text(after) +
+           " s after the next win");
+      world_.hold_reports(share, held, after);
+    }
+  }
+  if (world_.chance(0.5))
+    world_.at(world_.now() + offset(), [this] {
+      if (!over_) end_reign();
+    });
+}
+
 void MeetingDay::trouble(int node) {
   if (over_) return;
+  if (world_.chance(0.15)) return trouble_of_reports();
   const int chosen = target(node);
   const auto name = node_name(chosen);
   const double seconds = length();
@@ -176,7 +235,7 @@
     tell(what + (of_one ? " " + name : "") + " for " + text(seconds) + " s");
   };
   const std::string how = held ? ", packets held," : "";
-  switch (world_.pick(20)) {
+  switch (world_.pick(29)) {
     case 0:
     case 1:
       say("the state service refuses");
@@ -251,12 +310,55 @@
       knob = chosen;
       return world_.at(world_.now() + seconds, [&knob] { knob = -1; });
     }
+    case 19:
+    case 20:
+      say("mute machines", false);
+      return world_.mute_machines(world_.uniform(0.3, 1), seconds, world_.chance(0.5) ? "" : zone);
+    case 21:
+      say(std::string(zone) + " is cut off" + how + " with");
+      return world_.cut_zone(zone, chosen, seconds, held);
+    case 22: {
+      const double most = world_.uniform(0.5, 5);
+      say("up to " + text(most) + " s for half of what goes to and from machines", false);
+      return slow_links(most, seconds);
+    }
+    case 23: {
+      const double hang = world_.chance(0.6) ? seconds : 0;
+      const int jobs = world_.cancel_now(2 + world_.pick(8), hang);
+      return tell(std::to_string(jobs) + " running jobs called off" +
+                  (hang > 0 ? ", their machines hang for " + text(hang) + " s" : ""));
+    }
+    case 24:
+      say("users look closely", false);
+      return world_.close_looks(seconds, world_.uniform(0, 0.5));
+    case 25:
+      say("odd requests", false);
+      return world_.odd_requests(seconds);
+    case 26:
+      say("cancellations at the end", false);
+      return world_.cancel_at_end(world_.uniform(0.2, 1), seconds);
+    case 27: {
+      const double share = world_.chance(0.3) ? 1 : world_.uniform(0.1, 0.8);
+      say("only their answers lose " + text(share) + " of the transactions", false);
+      return world_.lost_answers(share, seconds);
+    }
     default:
       say("copies of reports", false);
       return world_.copies_come(world_.uniform(0.02, 0.5), seconds);
   }
 }
 
+void MeetingDay::slow_links(double most, double seconds) {
+  world_.held_up = [this, most, until = world_.now() + seconds](const std::string& from,
+                                                                const std::string& to, const std::string&) {
+    const auto of_workers = [](const std::string& end) {
+      return end.starts_with("n-") || end.starts_with("workers-");
+    };
+    if (over_ || world_.now() >= until || !(of_workers(from) || of_workers(to))) return 0.0;
+    return world_.chance(0.5) ? world_.uniform(0, most) : 0.0;
+  };
+}
+
 // ---- the end
 
 std::vector<std::string> MeetingDay::left_over() {
--- a/tests/sim/meetings.hpp
+++ b/tests/sim/meetings.hpp
@@ -20,6 +20,7 @@
   const std::vector<std::string>& story() const { return story_; }  // what was done to the site, and when
 
  private:
+  void habits();
   void load();
   void submit();
   void cancel_some(int count, double within_s);
@@ -29,6 +30,9 @@
   double length();
   int target(int node);
   void trouble(int node);
+  void trouble_of_reports();
+  void draw_machines();
+  void slow_links(double most, double seconds);
   void tell(const std::string& text);
   std::vector<std::string> left_over();
 
--- a/tests/sim/world.cpp
+++ b/tests/sim/world.cpp
@@ -23,6 +23,17 @@
 constexpr double kCopyLeases = 6;     // copies of reports are kept for so long
 constexpr double kPhantomLeases = 3;  // after its end a machine may still be recorded, behind an outage
 constexpr double kForgottenS = 75;    // the operators' rule
+constexpr double kStrandedS = 90;     // likewise
+constexpr double kStrandedLook = 1;   // seconds between two looks for it
+constexpr double kMuteLeases = 0.6;   // reports that fail to come for so long show a mute machine
+constexpr double kNoticedLate = 0.5;  // by which a message is late before its link counts as slow
+constexpr double kLearnS = 1;         // in which a leader that nothing hinders reads what was committed
+// A machine that goes on takes the answer that waits in its socket, then the held commands, and only then
+// looks at its lease: the order that lets most be executed.
+constexpr double kGoesOnCommands = 0.01;
+constexpr double kGoesOnLease = 0.02;
+constexpr std::size_t kBurstHangs = 8;
+constexpr double kBurstS = 0.2;
 constexpr double kNextWriteRps = 60;
 constexpr double kNextValueKb = 2;
 constexpr std::size_t kNextTxnOps = 8;
@@ -271,6 +282,16 @@
 
 // ---- world
 
+bool SimMachine::within_lease(double now, double lease_s) const {
+  return now - std::max(lease_from, pending_from) <= lease_s;
+}
+
+bool SimMachine::on(const MemberId& member, double now, double lease_s) const {
+  const auto found = tasks.find(member);
+  return up && !dead && within_lease(now, lease_s) && found != tasks.end() &&
+         (found->second.phase == MemberPhase::running || found->second.phase == MemberPhase::flushing);
+}
+
 World::World(std::uint64_t seed, int controllers, Timing timing)
     : node_count_(controllers > 0 ? controllers : kNodes),
       timing_(timing),
@@ -303,7 +324,7 @@
 Response World::serve_machine(const std::string& host, const Request& request) {
   const auto found = machines_.find(host);
   if (found == machines_.end() || !found->second.up) return {503, "{}", std::nullopt};
-  return command(found->second, request);
+  return command(found->second, request, now_);
 }
 World::~World() = default;
 
@@ -392,7 +413,14 @@
   foreign_ = false;
 }
 
+bool World::within_cut_zone(const std::string& end) const {
+  if (end == node_name(zone_cut_.node) || end == "workers-" + zone_cut_.zone) return true;
+  const auto machine = machines_.find(end);
+  return machine != machines_.end() && machine->second.zone == zone_cut_.zone;
+}
+
 const World::Link* World::link(const std::string& a, const std::string& b) const {
+  if (now_ < zone_cut_.link.until && within_cut_zone(a) != within_cut_zone(b)) return &zone_cut_.link;
   const auto found = links_.find(std::minmax(a, b));
   return found != links_.end() && now_ < found->second.until ? &found->second : nullptr;
 }
@@ -400,7 +428,11 @@
 void World::carry(const std::string& from, const std::string& to, double latency,
                   std::function<void()> deliver, const std::string& body) {
   latency += out_delay(from);
-  if (held_up) latency += held_up(from, to, body);
+  if (held_up) {
+    const double late = held_up(from, to, body);
+    if (late > kNoticedLate) disturbed_at_ = std::max(disturbed_at_, now_ + late);
+    latency += late;
+  }
   const auto* cut = link(from, to);
   if (cut == nullptr) return at(now_ + latency, std::move(deliver));
   // Held packets come when the cut is over, even if the sender has given up.
@@ -442,7 +474,8 @@
         }
   }
   const auto body = request.body;
-  const auto arrives = [this, node, state, cloud, address, request = std::move(request), back, starts] {
+  const auto arrives = [this, node, state, cloud, address, request = std::move(request), back, starts,
+                        sent = now_] {
     const auto arrived = [this, starts] {
       for (const auto start : starts) direct_starts_.erase(start);
     };
@@ -458,13 +491,13 @@
       if (unheard(node, host, request.body)) return arrived();
       if (now_ >= machine.hung_until) {
         arrived();
-        return back(command(machine, request));
+        return back(command(machine, request, sent));
       }
       // A hanging machine executes what has arrived when it goes on.
-      return at(machine.hung_until + 0.01, [this, host = host, request, back, arrived] {
+      return at(machine.hung_until + kGoesOnCommands, [this, host = host, request, back, arrived, sent] {
         arrived();
         const auto found = machines_.find(host);
-        if (found != machines_.end() && !found->second.dead) back(command(found->second, request));
+        if (found != machines_.end() && !found->second.dead) back(command(found->second, request, sent));
       });
     }
     arrived();  // nobody is there
@@ -560,13 +593,13 @@
     state_changed();
     for (const auto& write : body["writes"])
       if (vacant && write.value("write", "") == wire::kLeaderKey && write["data"].is_object())
-        tell(Moment::won, wire::parse_leader_record(write["data"]).node.back() - '0');
+        won(wire::parse_leader_record(write["data"]).node.back() - '0');
   }
   return {200, Json{{"epoch", epoch_}}.dump(), std::nullopt};
 }
 
 // Some requests get no answer; transactions among them may be carried out, at once or later.
-bool World::unanswered(const Request& request) {
+bool World::unanswered(int node, const Request& request) {
   const bool any = chance(0.002);
   if (request.path != "/commit") return any;
   auto body = Json::parse(request.body);
@@ -576,18 +609,29 @@
     held_back = std::move(body);
     return true;
   }
+  if (lose_next && std::any_of(writes.begin(), writes.end(), lose_next)) {
+    lose_next = nullptr;
+    lost_by = node;
+    lost_answers_count += commit(body).status == 200 ? 1U : 0U;
+    return true;
+  }
   const bool late = now_ < late_until_ && chance(late_share_);
   if (!any && !late) return false;
   if (!late && chance(0.5)) return true;
-  const double delay = late ? uniform(2, 12) : chance(0.5) ? 0.0 : uniform(0.5, 15);
+  const double delay = late && late_at_once_ ? 0.0
+                       : late                ? uniform(2, 12)
+                       : chance(0.5)         ? 0.0
+                                             : uniform(0.5, 15);
+  if (late) disturbed_at_ = std::max(disturbed_at_, now_ + delay);
   at(now_ + delay, [this, body = std::move(body)] { late_executed += commit(body).status == 200 ? 1U : 0U; });
   return true;
 }
 
 Response World::state_call(int node, const Request& request, const net::Reply& later, bool& answered) {
   const bool refused = refused_until_.contains(node) && now_ < refused_until_[node];
+  ++state_requests_[static_cast<int>(now_)];
   if (now_ < state_down_until_ || refused) return {503, "{}", std::nullopt};
-  if (unanswered(request)) {
+  if (unanswered(node, request)) {
     answered = false;
     return {};
   }
@@ -595,9 +639,11 @@
     if (!limit) limit.emplace(rate, rate);
     return !limit->take(now_, amount);
   };
-  if (limited(requests_, limits_.state_rps, 1) || chance(at_limit)) return {429, "{}", std::nullopt};
+  if (limited(requests_, limits_.state_rps, 1) || chance(at_limit))
+    return ++requests_refused, Response{429, "{}", std::nullopt};
   if (request.path == "/commit") {
     const auto body = Json::parse(request.body);
+    state_puts_[static_cast<int>(now_)] += body["writes"].size();
     if (no_puts && !body["writes"].empty()) return ++puts_refused, Response{429, "{}", std::nullopt};
     if (unanswered_puts > 0 && body["writes"].size() == 1 &&
         body["writes"][0].value("write", "").starts_with(wire::kJobs)) {
@@ -684,12 +730,17 @@
           std::count_if(machines_.begin(), machines_.end(), [](const auto& m) { return !m.second.dead; });
       int count = std::min<int>(body["count"].get<int>(), most_machines - static_cast<int>(have));
       if (spot && now_ < no_spot_until_) count = 0;
+      if (const auto out = zone_out_until_.find(body["rack_room"].get<std::string>());
+          out != zone_out_until_.end() && now_ < out->second)
+        count = 0;
       if (count <= 0) return {503, R"({"error":"no capacity"})", std::nullopt};
       for (int i = 0; i < count; ++i) {
         const auto& host =
             add_machine(body["flavor"].get<std::string>(), body["rack_room"].get<std::string>(), spot).host;
         rentals_[name].push_back(host);
-        if (!chance(0.03)) at(now_ + uniform(2, 14), [this, host] { boot_machine(host); });
+        const bool quick = quick_boots > 0 && chance(quick_boots);
+        if (quick || !chance(0.03))
+          at(now_ + (quick ? uniform(0.1, 2) : uniform(2, 14)), [this, host] { boot_machine(host); });
       }
     }
     return {200, Json{{"hosts", rentals_[name]}}.dump(), std::nullopt};
@@ -699,19 +750,32 @@
     for (const auto& host : body["hosts"]) erase_machine(host.get<std::string>());
     return {200, "{}", std::nullopt};
   }
+  return {200, Json{{"hosts", cloud_list()}, {"has_next", false}}.dump(), std::nullopt};
+}
+
+// As it was some seconds ago. What was listed once remains listed until it is gone, and longer by the lag.
+Json World::cloud_list() {
+  const double lag = lists_lag ? kListLag * uniform(1, 2) : kListLag;
   Json hosts = Json::array();
-  for (const auto& [host, machine] : machines_)
-    if (now_ - machine.born > kListLag)
-      hosts.push_back({{"uid", host},
-                       {"address", address_of(host)},
-                       {"flavor", machine.flavor},
-                       {"rack_room", machine.zone},
-                       {"reclaimable", machine.spot},
-                       {"phase", machine.dead ? "failed"
-                                 : machine.up ? "running"
-                                              : "booting"},
-                       {"held_s", now_ - machine.born}});
-  return {200, Json{{"hosts", hosts}, {"has_next", false}}.dump(), std::nullopt};
+  const auto add = [&](const SimMachine& machine) {
+    const bool up = machine.up && (!lists_lag || now_ - machine.up_since > lag);
+    hosts.push_back({{"uid", machine.host},
+                     {"address", address_of(machine.host)},
+                     {"flavor", machine.flavor},
+                     {"rack_room", machine.zone},
+                     {"reclaimable", machine.spot},
+                     {"phase", machine.dead ? "failed"
+                               : up         ? "running"
+                                            : "booting"},
+                     {"held_s", std::max(0.0, now_ - machine.born - (lists_lag ? lag : 0))}});
+  };
+  for (auto& [host, machine] : machines_) {
+    machine.listed = machine.listed || now_ - machine.born > lag;
+    if (machine.listed) add(machine);
+  }
+  for (const auto& [gone, machine] : lately_gone_)
+    if (lists_lag && now_ - gone < lag && machine.listed) add(machine);
+  return hosts;
 }
 
 SimMachine& World::add_machine(const std::string& flavor, const std::string& zone, bool spot) {
@@ -728,6 +792,9 @@
 }
 
 void World::erase_machine(const std::string& host) {
+  while (!lately_gone_.empty() && now_ - lately_gone_.front().first > 2 * kListLag) lately_gone_.pop_front();
+  if (const auto found = machines_.find(host); found != machines_.end())
+    lately_gone_.emplace_back(now_, found->second);
   if (machines_.erase(host) > 0) gone_machines_[host] = now_;
 }
 
@@ -737,7 +804,7 @@
   const auto found = machines_.find(host);
   if (found == machines_.end() || found->second.dead) return;
   found->second.up = true;
-  found->second.lease_from = now_;
+  found->second.lease_from = found->second.up_since = now_;
   machine_step(host);
 }
 
@@ -750,7 +817,7 @@
     erase_machine(host);
     return;
   }
-  if (now_ < machine.hung_until || !machine.up) return;
+  if (now_ < machine.hung_until + (machine.hung_until > 0 ? kGoesOnLease : 0) || !machine.up) return;
   if (now_ - machine.lease_from > settings_.lease_s) {
     machine.tasks.clear();
     ++machine.tenure;
@@ -795,7 +862,8 @@
   const int node = machine.node;
   const auto zone = "workers-" + machine.zone;
   Request request{Method::post, "/v1/report", to_json(report_of(machine)).dump()};
-  keep_copy(request.body);
+  const bool mute = now_ < machine.mute_until;
+  if (!mute) keep_copy(request.body);
   if (std::any_of(machine.tasks.begin(), machine.tasks.end(),
                   [](const auto& task) { return task.second.phase == MemberPhase::exited; }))
     tell(Moment::exited, node);
@@ -812,9 +880,10 @@
     if (found != machines_.end() && found->second.exchange == exchange && found->second.in_flight)
       next_node();
   });
-  auto receive = [this, host = machine.host, exchange, tenure, sent, next_node](const Response& response) {
+  auto receive = [this, host = machine.host, exchange, tenure, sent, next_node](const Response& response,
+                                                                                double ordered) {
     const auto found = machines_.find(host);
-    if (found == machines_.end() || found->second.dead || now_ < found->second.hung_until) return;
+    if (found == machines_.end() || found->second.dead) return;
     auto& worker = found->second;
     if (worker.exchange != exchange || !worker.in_flight || worker.tenure != tenure) return;
     if (response.status == 421) {
@@ -835,18 +904,30 @@
     if (fence > worker.fence) want_report(worker);
     worker.fence = fence;
     worker.lease_from = std::max(worker.lease_from, sent);
-    execute(worker, wire::parse_orders(body["orders"]));
+    execute(worker, wire::parse_orders(body["orders"]), ordered);
   };
-  const auto arrives = [this, node, zone, host = machine.host, request, receive] {
-    to_node(node, request, [this, zone, node, host, receive](const Response& response) {
+  const auto arrives = [this, node, zone, host = machine.host, request, receive, sent] {
+    to_node(node, request, [this, zone, node, host, receive, sent](const Response& response) {
       if (response.status == 200 && response.body.find("\"verb\"") != std::string::npos)
         tell(Moment::ordered, node);
-      const auto back = [this, node, host, receive, response] {
-        if (!unheard(node, host, response.body)) receive(response);
+      const auto back = [this, node, host, receive, response, sent, ordered = now_] {
+        if (unheard(node, host, response.body)) return;
+        const auto found = machines_.find(host);
+        if (found == machines_.end() || now_ >= found->second.hung_until) return receive(response, ordered);
+        // It waits in the socket of the hanging machine, which takes it unless it has given it up by then.
+        const double goes_on = found->second.hung_until;
+        if (goes_on >= sent + kReportDrop) return;
+        if (response.status == 200) found->second.pending_from = sent;
+        at(goes_on, [receive, response, ordered] { receive(response, ordered); });
       };
       carry(node_name(node), zone, 0.002, back, response.body);
     });
   };
+  if (mute) return;
+  if (now_ < held_reports_.until && chance(held_reports_.share)) {
+    held_reports_.bodies.push_back(request.body);
+    return;
+  }
   carry(zone, node_name(node), 0.002 + report_delay, arrives, request.body);
 }
 
@@ -861,7 +942,7 @@
   return true;
 }
 
-Response World::command(SimMachine& machine, const Request& request) {
+Response World::command(SimMachine& machine, const Request& request, double sent) {
   const auto body = Json::parse(request.body);
   const auto fence = body["fence"].get<std::uint64_t>();
   ++machine.counter;
@@ -869,17 +950,17 @@
     return {409, to_json(report_of(machine)).dump(), std::nullopt};
   if (fence > machine.fence) want_report(machine);
   machine.fence = fence;
-  execute(machine, wire::parse_orders(body["orders"]));
+  execute(machine, wire::parse_orders(body["orders"]), sent);
   auto answer = to_json(report_of(machine)).dump();
   keep_copy(answer);
   return {200, std::move(answer), std::nullopt};
 }
 
-void World::execute(SimMachine& machine, const std::vector<wire::Order>& orders) {
+void World::execute(SimMachine& machine, const std::vector<wire::Order>& orders, double sent) {
   for (const auto& order : orders) {
     const auto found = machine.tasks.find(order.member);
     if (order.verb == wire::Verb::start) {
-      start(machine, order.member, order.try_no);
+      start(machine, order.member, order.try_no, sent);
     } else if (found == machine.tasks.end() || found->second.try_no != order.try_no) {
       continue;
     } else if (order.verb == wire::Verb::stop) {
@@ -888,6 +969,7 @@
           job != jobs_.end() && job->second.spec.shape == wire::Shape::daemon && !job->second.cancel_asked)
         ++service_stops;
       if (found->second.phase == MemberPhase::running) check_replica_stop(order.member);
+      note_stop(machine, order.member);
       found->second.phase = MemberPhase::exited;
       found->second.cause = ExitCause::halted;
       want_report(machine);
@@ -898,11 +980,11 @@
   }
 }
 
-void World::start(SimMachine& machine, const MemberId& member, wire::TryNo try_no) {
+void World::start(SimMachine& machine, const MemberId& member, wire::TryNo try_no, double ordered) {
   want_report(machine);
   const auto found = machine.tasks.find(member);
   if (found != machine.tasks.end() && found->second.try_no == try_no) return;
-  SimTask task{try_no, MemberPhase::pulling, ExitCause::none, 0};
+  SimTask task{try_no, MemberPhase::pulling, ExitCause::none, 0, ordered};
   const auto job = jobs_.find(member.job.value);
   if (found != machine.tasks.end() && found->second.phase != MemberPhase::exited) return;  // busy
   wire::Amounts used;
@@ -920,6 +1002,9 @@
   }
   machine.tasks[member] = task;
   if (task.phase == MemberPhase::exited) return;
+  note_room_used(machine, member);
+  if (now_ < machine.mute_until && now_ - machine.mute_since > kMuteLeases * settings_.lease_s)
+    ++starts_on_mute;
   const bool cached = !machine.images.insert(job->second.spec.bundle).second;
   at(now_ + (cached ? 0.05 : 1.5),
      [this, host = machine.host, member, try_no] { image_ready(host, member, try_no.value); });
@@ -941,7 +1026,9 @@
   task->second.phase = MemberPhase::running;
   ++starts_;
   if (job.begun == 0) job.begun = now_;
+  ++job.starts;
   log_->debug("{} starts on {}", member.text(), host);
+  count_cancelled_start(job, task->second.ordered);
   check_start(machine, member);
   want_report(machine);
   // A replica that spans machines shows that a machine is sick.
@@ -951,6 +1038,7 @@
                      : machine.sick || job.broken         ? 0.5
                                                           : job.run_s * std::pow(job.longer, member.index);
   at(now_ + run, [this, host, member, try_no] { task_ended(host, member, try_no); });
+  end_is_near(job, now_ + run);
 }
 
 void World::task_ended(const std::string& host, const MemberId& member, std::uint64_t try_no) {
@@ -968,6 +1056,7 @@
   task->second.phase = MemberPhase::exited;
   task->second.cause = fails ? ExitCause::error : ExitCause::done;
   if (!fails) job.completed.insert(member.index);
+  if (job.completed.size() == job.spec.members && job.completed_at == 0) completed(job);
   if (job.completed.size() == job.spec.members && std::exchange(job.cancel_at_end, false))
     at(now_ + uniform(0, 1.2), [this, uid = job.spec.uid.value] { user_cancel(uid); });
   want_report(machine);
@@ -975,17 +1064,23 @@
 
 // ---- users
 
-void World::user_call(const std::string&, Request request, double timeout,
-                      std::function<void(Response)> done) {
+void World::user_call(const std::string&, Request request, double timeout, std::function<void(Response)> done,
+                      int node) {
   auto once = std::make_shared<bool>(false);
   auto answer = [once, done = std::move(done)](const Response& response) {
     if (!std::exchange(*once, true)) done(response);
   };
   at(now_ + timeout, [answer] { answer({}); });
-  const int node = pick(node_count_);
-  at(now_ + 0.002, [this, node, request = std::move(request), answer] {
-    to_node(node, request, [this, node, answer](const Response& response) {
-      at(now_ + 0.002 + out_delay(node_name(node)), [this, node, answer, response] {
+  const double way = node < 0 ? 0.002 : uniform(0.0002, 0.002);
+  if (node < 0) node = pick(node_count_);
+  at(now_ + way, [this, node, way, request = std::move(request), answer, asked = now_] {
+    to_node(node, request, [this, node, way, answer, request, asked](const Response& response) {
+      const double delay = out_delay(node_name(node));
+      if (delay > 0)
+        at(now_ + delay, [this, request, response, asked] { answer_left(request, response, asked); });
+      else
+        answer_left(request, response, asked);
+      at(now_ + way + delay, [this, node, answer, response] {
         answering_ = node;
         answer(response);
       });
@@ -1104,7 +1199,10 @@
 
 Response World::ask(int node, Request request) {
   const auto answer = std::make_shared<std::optional<Response>>();
-  to_node(node, std::move(request), [answer](const Response& response) { *answer = response; });
+  to_node(node, request, [this, answer, request, asked = now_](const Response& response) {
+    answer_left(request, response, asked);
+    *answer = response;
+  });
   for (const double until = now_ + 5; !*answer && now_ < until;) run(now_ + 0.05);
   return answer->value_or(Response{});
 }
@@ -1238,10 +1336,39 @@
       return;
     }
 }
+int World::cancel_now(int count, double hang_s) {
+  std::map<std::string, std::set<std::string>> running;  // and where
+  for (const auto& [host, machine] : machines_)
+    for (const auto& [member, task] : machine.tasks) {
+      const auto job = jobs_.find(member.job.value);
+      if (job == jobs_.end() || !machine.on(member, now_, settings_.lease_s)) continue;
+      const auto& it = job->second;
+      const double least_s = it.run_s * std::min(1.0, it.longer);
+      const bool long_to_go =
+          it.spec.shape == wire::Shape::daemon || it.begun + least_s > now_ + settings_.cancel_s;
+      if (long_to_go && it.accepted && !it.cancel_asked && !it.broken) running[job->first].insert(host);
+    }
+  std::vector<std::string> chosen;
+  for (const auto& [uid, hosts] : running) chosen.push_back(uid);
+  std::shuffle(chosen.begin(), chosen.end(), random_);
+  chosen.resize(std::min(chosen.size(), static_cast<std::size_t>(std::max(0, count))));
+  std::set<std::string> hang;
+  for (const auto& uid : chosen) {
+    at(now_ + uniform(0, kBurstS), [this, uid] { user_cancel(uid); });
+    for (const auto& host : running.at(uid))
+      if (hang_s > 0 && hang.size() < kBurstHangs) hang.insert(host);
+  }
+  for (const auto& host : hang) machines_.at(host).hung_until = now_ + hang_s;
+  return static_cast<int>(chosen.size());
+}
 void World::kill_machines(double share) {
   for (auto& [host, machine] : machines_)
     if (machine.up && chance(share)) machine.dead = true;
 }
+void World::kill_zone(const std::string& zone, double share) {
+  for (auto& [host, machine] : machines_)
+    if (machine.up && machine.zone == zone && chance(share)) machine.dead = true;
+}
 void World::hang_machines(double share, double seconds) {
   for (auto& [host, machine] : machines_)
     if (machine.up && !machine.dead && chance(share)) machine.hung_until = now_ + seconds;
@@ -1258,6 +1385,11 @@
     if (machine.up && !machine.dead && (zone.empty() || machine.zone == zone) && chance(share))
       machine.deaf_until = now_ + seconds;
 }
+void World::mute_machines(double share, double seconds, const std::string& zone) {
+  for (auto& [host, machine] : machines_)
+    if (machine.up && !machine.dead && (zone.empty() || machine.zone == zone) && chance(share))
+      std::tie(machine.mute_since, machine.mute_until) = std::pair(now_, now_ + seconds);
+}
 void World::sicken_machine() {
   for (auto& [host, machine] : machines_)
     if (machine.up && !machine.dead && chance(0.3)) {
@@ -1288,9 +1420,38 @@
 
 void World::copy_comes(int node, const Request& report) {
   ++copies_delivered_;
+  disturbed_at_ = std::max(disturbed_at_, now_);
   to_node(node, report, [](const Response&) {});
 }
 
+void World::copies_at_win(double share, double since, double within_s, bool everywhere) {
+  at_win_.push_back({share, since, within_s, everywhere});
+}
+
+void World::hold_reports(double share, double for_s, double after_win_s) {
+  held_reports_.share = share;
+  held_reports_.until = now_ + for_s;
+  held_reports_.after_win_s = after_win_s;
+}
+
+void World::won(int node) {
+  tell(Moment::won, node);
+  for (const auto& copies : std::exchange(at_win_, {}))
+    for (const auto& [sent, body] : kept_) {
+      if (sent < copies.since || !chance(copies.share)) continue;
+      const double when = now_ + (chance(0.5) ? 0.001 : uniform(0, copies.within_s));
+      for (int other = 0; other < node_count_; ++other)
+        if (other == node || copies.everywhere)
+          at(when, [this, other, body = body] { copy_comes(other, {Method::post, "/v1/report", body}); });
+    }
+  const double after = held_reports_.after_win_s;
+  for (auto& body : std::exchange(held_reports_.bodies, {}))
+    at(now_ + after, [this, node, body = std::move(body)] {
+      ++late_reports_;
+      to_node(node, {Method::post, "/v1/report", body}, [](const Response&) {});
+    });
+}
+
 void World::back_at_once(int node) {
   const auto name = node_name(node);
   if (chance(0.5)) {
@@ -1306,6 +1467,7 @@
 
 void World::restart_machine(const std::string& host, double away_s, Back how) {
   auto& machine = machines_.at(host);
+  disturbed_at_ = std::max(disturbed_at_, now_ + away_s);
   machine.up = machine.in_flight = false;
   machine.tasks.clear();
   ++machine.exchange;
@@ -1422,27 +1584,48 @@
 }
 
 void World::heal() {
+  zone_cut_.link.until = std::min(zone_cut_.link.until, now_);
+  for (auto& [zone, until] : zone_out_until_) until = std::min(until, now_);
   for (auto& [ends, cut] : links_) cut.until = std::min(cut.until, now_);
   state_down_until_ = std::min(state_down_until_, now_);
   cloud_down_until_ = std::min(cloud_down_until_, now_);
   no_spot_until_ = std::min(no_spot_until_, now_);
   for (auto& [node, until] : refused_until_) until = std::min(until, now_);
   late_until_ = std::min(late_until_, now_);
+  for (auto* habit : {&close_until_, &odd_until_, &end_until_}) *habit = std::min(*habit, now_);
   slow_until_ = std::min(slow_until_, now_);
   for (auto& [node, until] : mute_until_) until = std::min(until, now_);
   for (auto& [host, machine] : machines_) machine.deaf_until = std::min(machine.deaf_until, now_);
+  for (auto& [host, machine] : machines_) machine.mute_until = std::min(machine.mute_until, now_);
   for (auto& [node, freeze] : freezes_) freeze.pending = 0;
+  held_reports_.until = std::min(held_reports_.until, now_);
 }
 
 void World::force_start(const MemberId& member, std::size_t index) {
   auto machine = machines_.begin();
   std::advance(machine, static_cast<std::ptrdiff_t>(index));
   machine->second.up = true;
-  start(machine->second, member, wire::TryNo{1});
+  start(machine->second, member, wire::TryNo{1}, now_);
 }
 
 // ---- rules
 
+World::CancelledStarts& World::CancelledStarts::operator+=(const CancelledStarts& other) {
+  all += other.all;
+  ordered_after += other.ordered_after;
+  knowable += other.knowable;
+  return *this;
+}
+
+// Once a user was told of a cancellation no task of the job may be started; what was under way may still.
+void World::count_cancelled_start(const SimJob& job, double ordered) {
+  const double told = job.told_cancelled;
+  if (told == 0) return;
+  const bool after = ordered > told;
+  const bool free = !troubled() && step_troubled_at_ < told - kLearnS;
+  cancelled_starts_ += {1, after ? 1U : 0U, free && ordered > told + kLearnS ? 1U : 0U};
+}
+
 void World::violate(const std::string& rule, const std::string& what) {
   log_->error("BROKEN {}: {}", rule, what);
   broken_.push_back(rule + " at " + std::to_string(now_) + ": " + what);
@@ -1730,8 +1913,8 @@
 
 // What may keep a user from an answer, whatever becomes of machines and cloud.
 bool World::troubled() const {
-  return now_ < state_down_until_ || now_ < slow_until_ || deaf_node >= 0 || unread_node >= 0 ||
-         !unread.empty() || no_puts ||
+  return now_ < state_down_until_ || now_ < slow_until_ || now_ < zone_cut_.link.until || deaf_node >= 0 ||
+         unread_node >= 0 || !unread.empty() || no_puts ||
          std::any_of(refused_until_.begin(), refused_until_.end(),
                      [this](const auto& refused) { return now_ < refused.second; }) ||
          std::any_of(links_.begin(), links_.end(),
@@ -1760,8 +1943,162 @@
   }
 }
 
+// Invariant 4, from the other side: what is there and in no record belongs to nobody, is paid for and unused.
+void World::check_owners() {
+  if (unowned_limit_s <= 0 || now_ < next_owner_check_) return;
+  next_owner_check_ = now_ + 1;
+  std::set<std::string> owned;
+  for (auto key = keys_.lower_bound(wire::kMachines);
+       key != keys_.end() && key->first.starts_with(wire::kMachines); ++key)
+    if (key->second.data.is_object())
+      for (const auto& [host, address] :
+           wire::parse_machine_group(key->first.substr(wire::kMachines.size()), key->second.data).hosts)
+        owned.insert(host.value);
+  const bool muted = std::any_of(mute_until_.begin(), mute_until_.end(),
+                                 [this](const auto& mute) { return now_ < mute.second; });
+  const bool trouble = troubled() || muted || leaders() != 1 || now_ < late_until_ ||
+                       now_ < cloud_down_until_ || now_ < held_reports_.until;
+  for (auto& [host, machine] : machines_) {
+    const bool there = machine.up && !machine.dead && now_ >= machine.hung_until &&
+                       now_ >= machine.deaf_until && now_ >= machine.mute_until;
+    if (trouble || !there || owned.contains(host)) machine.owned_at = now_;
+    if (now_ - std::max(machine.owned_at, machine.up_since) <= unowned_limit_s) continue;
+    violate("unowned", host);
+    machine.owned_at = now_;
+  }
+}
+
+// Whether anything is out of order, machines included.
+bool World::disturbed() const {
+  return troubled() || now_ < cloud_down_until_ || now_ < no_spot_until_ || now_ < late_until_ ||
+         now_ < held_reports_.until ||
+         std::any_of(zone_out_until_.begin(), zone_out_until_.end(),
+                     [this](const auto& out) { return now_ < out.second; }) ||
+         at_limit > 0 || report_delay > 0 || !untaken.empty() || state_was_down_ ||
+         std::any_of(mute_until_.begin(), mute_until_.end(),
+                     [this](const auto& mute) { return now_ < mute.second; }) ||
+         std::any_of(machines_.begin(), machines_.end(), [this](const auto& entry) {
+           const auto& machine = entry.second;
+           return !machine.dead && (machine.taken_at > 0 || now_ < machine.hung_until ||
+                                    now_ < machine.deaf_until || now_ < machine.mute_until);
+         });
+}
+
+// Whether a machine that is well and that the job may use has room for one more of its tasks.
+bool World::room_beside(const SimJob& job, const std::map<std::string, double>& team_cores) const {
+  const auto& spec = job.spec;
+  const auto team = std::find_if(settings_.teams.begin(), settings_.teams.end(),
+                                 [&](const auto& each) { return each.name == spec.owner; });
+  const auto used = team_cores.find(spec.owner);
+  if (team == settings_.teams.end() ||
+      (used == team_cores.end() ? 0 : used->second) + spec.need.cores > team->limit.cores + 1e-6)
+    return false;
+  std::map<std::string, std::uint32_t> zones;
+  if (spec.together || spec.scatter)
+    for (const auto& [host, machine] : machines_)
+      for (const auto& [member, task] : machine.tasks)
+        if (member.job == spec.uid && task.phase != MemberPhase::exited) ++zones[machine.zone];
+  return std::any_of(machines_.begin(), machines_.end(), [&](const auto& entry) {
+    const auto& machine = entry.second;
+    if (!machine.up || machine.dead || machine.sick || machine.taken_at > 0) return false;
+    if (spec.rack_room && *spec.rack_room != machine.zone) return false;
+    if (machine.spot && !spec.reclaimable) return false;
+    if (spec.flavors &&
+        std::find(spec.flavors->begin(), spec.flavors->end(), machine.flavor) == spec.flavors->end())
+      return false;
+    const auto here = zones.contains(machine.zone) ? zones.at(machine.zone) : 0U;
+    if (spec.together && !zones.empty() && here == 0) return false;
+    if (spec.scatter && here >= (spec.members + 1) / 2) return false;
+    wire::Amounts want = spec.need;
+    for (const auto& [member, task] : machine.tasks)
+      if (task.phase != MemberPhase::exited) want += jobs_.at(member.job.value).spec.need;
+    return want.fits(size_of(machine.flavor));
+  });
+}
+
+// The operators' rule: all troubles over, no job waits beside room that it may use. Counted from the world's
+// machines, whatever the leader makes of them. Of replicas that span machines it knows nothing.
+void World::check_stranded() {
+  if (now_ < next_stranded_check_) return;
+  next_stranded_check_ = now_ + kStrandedLook;
+  if (disturbed()) disturbed_at_ = std::max(disturbed_at_, now_);
+  // A machine that died or that tasks fail on may be there for good: it is the moment that counts.
+  for (const auto& [host, machine] : machines_)
+    if ((machine.dead || machine.sick) && failed_machines_.insert(host).second)
+      disturbed_at_ = std::max(disturbed_at_, now_);
+  if (now_ < disturbed_at_ + kStrandedLook) return beside_room_.clear();
+  std::map<std::string, double> team_cores;
+  std::map<std::string, std::uint32_t> on_machines;  // by job: tasks that are neither over nor waiting
+  for (const auto& [host, machine] : machines_)
+    for (const auto& [member, task] : machine.tasks) {
+      const auto& job = jobs_.at(member.job.value);
+      if (task.phase == MemberPhase::exited) continue;
+      team_cores[job.spec.owner] += job.spec.need.cores;
+      if (!job.completed.contains(member.index)) ++on_machines[member.job.value];
+    }
+  for (const auto& [uid, job] : jobs_) {
+    const bool open = job.accepted && !job.told_done && job.told_cancelled == 0 && !job.broken &&
+                      span({job.spec.uid, 0}) == 1 && !cancel_asked(job);
+    const auto there = on_machines.contains(uid) ? on_machines.at(uid) : 0U;
+    const bool waits =
+        open && job.completed.size() + there < job.spec.members &&
+        std::all_of(job.spec.waits_on.begin(), job.spec.waits_on.end(), [this](const wire::JobId& need) {
+          const auto record = keys_.find(wire::job_key(need));
+          return record != keys_.end() && record->second.data.is_object() &&
+                 record->second.data["phase"] == "done";
+        });
+    if (!waits || !room_beside(job, team_cores)) {
+      beside_room_.erase(uid);
+      continue;
+    }
+    auto& waiting = beside_room_.try_emplace(uid, Waits{now_, job.starts}).first->second;
+    if (waiting.starts != job.starts) waiting = {now_, job.starts};
+    waited_most_s = std::max(waited_most_s, now_ - waiting.since);
+    if (now_ - waiting.since <= kStrandedS) continue;
+    violate("stranded", uid + ": " + std::to_string(job.completed.size()) + " done and " +
+                            std::to_string(there) + " on machines of " + std::to_string(job.spec.members));
+    beside_room_.erase(uid);
+  }
+}
+
+void World::note_stop(const SimMachine& machine, const MemberId& member) {
+  const auto job = jobs_.find(member.job.value);
+  if (job == jobs_.end() || cancel_asked(job->second) || job->second.completed.contains(member.index)) return;
+  // Not where the task runs elsewhere too, or goes with its machine.
+  if (machine.taken_at > 0 || machine.sick || span(member) > 1) return;
+  ++made_room;
+  room_made_.push_back({machine.host, member, now_});
+}
+
+void World::note_room_used(const SimMachine& machine, const MemberId& member) {
+  const auto& spec = jobs_.at(member.job.value).spec;
+  const auto kind = spec.queue + "/" + std::to_string(static_cast<int>(spec.rank));
+  std::erase_if(room_made_, [&](const RoomMade& made) {
+    // What does not rank above it takes no room that was made: it finds some beside.
+    if (made.host != machine.host || spec.rank <= jobs_.at(made.member.job.value).spec.rank) return false;
+    const auto [last, first] = made_room_for_.try_emplace(made.member, kind);
+    if (!first && last->second == kind) {
+      ++made_room_again;
+      log_->debug("{} made room for {} again", made.member.text(), kind);
+    }
+    last->second = kind;
+    return true;
+  });
+}
+
+void World::check_room_made() {
+  for (; !room_made_.empty() && now_ - room_made_.front().at > room_used_within_s; room_made_.pop_front()) {
+    ++made_room_in_vain;
+    log_->debug("{} was stopped on {} in vain", room_made_.front().member.text(), room_made_.front().host);
+  }
+}
+
 void World::check_step() {
+  check_room_made();
   check_replicas();
+  check_owners();
+  check_stranded();
+  if (steps_ % 16 == 0 && troubled()) step_troubled_at_ = now_;
   // Invariant 2.
   if (leaders() > 1) violate("two_leaders", std::to_string(leaders()) + " controllers may give orders");
   if (steps_ % 512 == 0) check_records();
