--- a/src/leader/heartbeats.cpp
+++ b/src/leader/heartbeats.cpp
@@ -442,6 +442,7 @@
   if (assignment.service) machine.service_cores -= assignment.request.cores;
   quota_.remove(assignment);
   book(assignment, -1);
+  note_victim_gone(machine, task_id);
   fleet_.refresh(machine);
   const auto found_job = jobs_.find(task_id.job);
   if (!assignment.orphaned) gangs_.tracker().gone(task_id, loop().now());
--- a/src/leader/leader.hpp
+++ b/src/leader/leader.hpp
@@ -265,12 +265,16 @@
   std::optional<double> has_room_at(const model::Machine& machine, const wire::Resources& request) const;
   void answer_pending();
   void assign(model::Machine& machine, model::Job& job, std::uint32_t index);
+  bool crowded(const model::Machine& machine, const model::Job& job) const;
+
+  // Preemption (preempting.cpp)
   bool preempt(model::Job& job, bool with_image);
   PreemptionState preemption_state(const model::Job& job, bool with_image) const;
   bool may_reclaim_borrowed(const model::Job& job) const;
   bool could_run_on(const model::Machine& machine, const model::Job& job) const;
   void stop_victims(const PreemptionCandidate& chosen, const model::Job& job);
-  bool crowded(const model::Machine& machine, const model::Job& job) const;
+  void note_victim_gone(const model::Machine& machine, const wire::TaskId& task);
+  void log_ended_preemptions();
 
   // Replicas that span machines (gangs.cpp)
   using CommandsByMachine = std::map<wire::MachineId, std::vector<wire::Command>>;
--- a/src/leader/placement.cpp
+++ b/src/leader/placement.cpp
@@ -18,15 +18,11 @@
 using wire::CommandType;
 
 namespace {
-constexpr double kRoomComes = 0.15;  // control intervals that a task needs to stop and tell
-constexpr double kRoomPaces = 4;     // for which room that was made is its task's alone
-constexpr double kServiceRoomPaces = 2;
 constexpr int kBindsPerTurn = 200;
-constexpr double kServicesTogether = 8;  // may be on one machine in any case
-constexpr double kServiceShare = 0.04;   // of all services: may be on one machine
-constexpr double kSpreadBoots = 2;       // boots that a service waits for a machine that has fewer
-constexpr std::size_t kRoomLook = 48;    // machines looked at for a task that needs others stopped
-constexpr double kRoomAgain = 0.2;  // control intervals after which a batch looks for others to stop again
+constexpr double kServicesTogether = 8;        // may be on one machine in any case
+constexpr double kServiceShare = 0.04;         // of all services: may be on one machine
+constexpr double kSpreadBoots = 2;             // boots that a service waits for a machine that has fewer
+constexpr std::size_t kMachinesLookedAt = 48;  // for one that should drain for a task
 constexpr std::size_t kRoomTries = queue::kCandidatesTried;  // jobs in a turn that look for others to stop
 constexpr double kRounding = 1e-6;
 const std::string kDrains = "a machine drains for it";
@@ -252,6 +248,7 @@
   }
   send_starts(turn);
   answer_pending();
+  log_ended_preemptions();
   if (turn.tasks_wait) plan_soon();
   // Bounded, so that leases, reports and probes are never late behind thousands of tasks.
   if (turn.binds_left <= 0) place_soon();
@@ -372,7 +369,7 @@
     return backfill_reservations_.machine_of(job.spec.id) != nullptr;
   const Machine* best = nullptr;
   double best_at = std::numeric_limits<double>::max();
-  fleet_.visit_after(backfill_cursor_, kRoomLook, [&](const Machine& machine) {
+  fleet_.visit_after(backfill_cursor_, kMachinesLookedAt, [&](const Machine& machine) {
     if (!drains(machine) || backfill_reservations_.reserved(machine.id)) return;
     if (!could_run_on(machine, job) || job.failed_on.contains(machine.id)) return;
     const auto at = has_room_at(machine, job.spec.request);
@@ -423,84 +420,4 @@
   }
 }
 
-// Preemption: stops tasks that the selector chooses on one machine, so that a task of the job can start.
-// `with_image`: only where the image is. Says whether room is on its way.
-bool Leader::preempt(Job& job, bool with_image) {
-  const double now = loop().now();
-  switch (preemption_state(job, with_image)) {
-    case PreemptionState::room_coming:
-      return true;
-    case PreemptionState::wait:
-      return false;
-    case PreemptionState::may_search:
-      break;
-  }
-  job.preemption_tried_at = now;
-  const Preemptor preemptor{job, effective_priority(job), may_reclaim_borrowed(job)};
-  if (!preemptor.reclaims_borrowed && quota_.cores_below(preemptor.priority) < kRounding) return false;
-  const auto allowed = [&](const Machine& machine) {
-    if (preemption_reservations_.reserved(machine.id, now) || !could_run_on(machine, job)) return false;
-    return (!with_image || machine.images.contains(job.spec.image)) && !crowded(machine, job);
-  };
-  // A part of the fleet at a time, going round: the best of some dozens is hardly worse than the best of all.
-  const auto chosen = victim_selector_.choose(fleet_, kRoomLook, preemptor, allowed, now);
-  if (!chosen) return false;
-  job.preempted_at = now;
-  job.preempted_room_has_image = !chosen->cost.lacks_image;
-  preemption_reservations_.reserve(
-      job.spec.id, chosen->machine_id, preemptor.priority, job.spec.request, now,
-      now + (job.is_service() ? kServiceRoomPaces : kRoomPaces) * settings_.control_interval_s);
-  stop_victims(*chosen, job);
-  return true;
-}
-
-// Whether other tasks may be stopped for the job now.
-Leader::PreemptionState Leader::preemption_state(const Job& job, bool with_image) const {
-  const double now = loop().now();
-  // What was stopped for it before is on its way.
-  if (now - job.preempted_at < settings_.control_interval_s) {
-    // Room made where the image is not is all that it gets: waiting on for a better one, a service left it to
-    // the next batch and made room again each control interval, 20 s down after its machine died (lakaskalk,
-    // troubles).
-    const bool comes = now - job.preempted_at < kRoomComes * settings_.control_interval_s;
-    return comes && (!with_image || job.preempted_room_has_image) ? PreemptionState::room_coming
-                                                                  : PreemptionState::wait;
-  }
-  if (job.is_service()) return PreemptionState::may_search;
-  if (preemption_reservations_.pending(job.spec.id, now)) return PreemptionState::room_coming;
-  // A batch in a flood is one of thousands that look for room at each event.
-  return now - job.preemption_tried_at < kRoomAgain * settings_.control_interval_s
-             ? PreemptionState::wait
-             : PreemptionState::may_search;
-}
-
-// Stopped work is mostly lost, and borrowed room comes back by itself as tasks end: taken back by force is
-// only what long tasks would not give back soon, when a whole round has not brought enough.
-bool Leader::may_reclaim_borrowed(const Job& job) const {
-  return within_guarantee(job) && loop().wall() - job.eligible_at > settings_.round_s &&
-         quota_.others_borrow(job.spec.team);
-}
-
-// Whether the machine could run a task of the job if it were empty.
-bool Leader::could_run_on(const Machine& machine, const Job& job) const {
-  return model::allows(job.spec, {machine.machine_type, machine.zone, machine.preemptible}) &&
-         zone_allows(job, machine.zone) && job.spec.request.fits(machine.capacity);
-}
-
-void Leader::stop_victims(const PreemptionCandidate& chosen, const Job& job) {
-  auto& machine = *fleet_.find(chosen.machine_id);
-  for (const auto& victim : chosen.victims) {
-    if (const auto span = gangs_.tracker().span(victim.job); span > 1) {  // whole, or not at all
-      gangs_.tracker().evict({victim.job, victim.index / span}, loop().now());
-      continue;
-    }
-    const auto& spec = jobs_.at(victim.job).spec;
-    log_->debug("job {}: {} makes room for it", job.spec.id.value, victim.text());
-    ++event_counts_["tasks made room"];
-    stop_task(machine, machine.assignments.at(victim),
-              spec.checkpoint_interval_s > 0 ? spec.checkpoint_duration_s : 0);
-  }
-  apply_gang_actions();
-}
-
 }  // namespace bankhill::leader
--- a/tests/sim/check_service.cpp
+++ b/tests/sim/check_service.cpp
@@ -136,6 +136,7 @@
   // Not where the task runs elsewhere too, or goes with its machine.
   if (machine.preempted_at > 0 || machine.unhealthy || world_.span(task_id) > 1) return;
   ++made_room;
+  world_.log()->debug("{} is stopped on {}", task_id.text(), machine.id);
   room_made_.push_back({machine.id, task_id, world_.now()});
 }
 
