tests: two stops in vain that need no slow links to be seen, failing

SparesWhatALargerVictimMakesNeedless: victims are taken in the order of their names until the task fits; those before a large one are stopped though it alone makes room enough. StopsNoTaskWhoseStartIsOnItsWay: a stop that overtakes the start it is meant for stops nothing.

--- a/tests/preemption_test.cpp
+++ b/tests/preemption_test.cpp
@@ -211,6 +211,31 @@
   EXPECT_EQ(chosen(Priority::normal, [](const auto&) { return false; }), "");
 }
 
+// A task found first is spared when a larger one that must go anyway makes room enough: tasks were lost for
+// nothing whenever small ones stood before a large one in the order of their names.
+TEST_F(PreemptionTest, SparesWhatALargerVictimMakesNeedless) {
+  auto& machine = add_machine("m");
+  add_task(machine, "red", 1, Priority::best_effort, 10);  // red0
+  add_task(machine, "red", 2, Priority::best_effort, 10);  // red1
+  add_task(machine, "red", 5, Priority::best_effort, 10);  // red2
+  EXPECT_EQ(victims(machine, Priority::normal, false), Names{"red2"});
+  waiting_.spec.request.cores = 6;
+  EXPECT_EQ(victims(machine, Priority::normal, false), (Names{"red1", "red2"}));
+  waiting_.spec.request.cores = 8;
+  EXPECT_EQ(victims(machine, Priority::normal, false), (Names{"red0", "red1", "red2"}));
+}
+
+// A stop that overtakes the start is ignored, and the task runs where its room was promised to another
+// (bankhill_wasted_work_days preemption 36 1 --latest 1.5: start at 175.15 s after a stop sent at 174.13 s).
+TEST_F(PreemptionTest, StopsNoTaskWhoseStartIsOnItsWay) {
+  auto& machine = add_machine("m");
+  auto& task = add_task(machine, "red", 8, Priority::best_effort, 10);
+  task.running_since = 0;
+  EXPECT_EQ(victims(machine, Priority::production, true), Names{});
+  task.state = model::AssignmentState::pulling_image;
+  EXPECT_EQ(victims(machine, Priority::production, true), Names{"red0"});
+}
+
 // A large fleet is looked through a part at a time.
 TEST_F(PreemptionTest, GoesRoundTheFleet) {
   for (const auto* name : {"a", "b", "c"}) add_task(add_machine(name), "red", 8, Priority::best_effort, 10);
