Preemption: room that was made is used, and nothing is stopped that need not be

Now one task of the job waits for its room, services too, while its machine is heard; stops go in one request; a reservation lasts until the start has arrived; what its job cannot use is open to ranks above the victims for one pass. A service goes for another machine with its image only where the victims stop sooner than the image is fetched.

--- a/src/leader/heartbeats.cpp
+++ b/src/leader/heartbeats.cpp
@@ -334,6 +334,8 @@
   }
   const auto job = jobs_.find(task_status.task.job);
   const bool was_running = assignment.state == AssignmentState::running;
+  if (assignment.state == AssignmentState::sent)
+    preemption_reservations_.start_arrived(task_status.task.job, machine.id);
   switch (task_status.state) {
     case TaskState::pulling_image:
       assignment.state = AssignmentState::pulling_image;
@@ -442,7 +444,7 @@
   if (assignment.service) machine.service_cores -= assignment.request.cores;
   quota_.remove(assignment);
   book(assignment, -1);
-  note_victim_gone(machine, task_id);
+  note_gone(machine, assignment);
   fleet_.refresh(machine);
   const auto found_job = jobs_.find(task_id.job);
   if (!assignment.orphaned) gangs_.tracker().gone(task_id, loop().now());
@@ -569,10 +571,11 @@
                 dependencies_.awaited(job.spec.id) ? FlushDelay::awaited : FlushDelay::none, std::move(then));
 }
 
-void Leader::stop_task(Machine& machine, Assignment& assignment, double grace_period_s) {
+// The assignment is to be stopped; returns the command that does it.
+Command Leader::mark_stopping(Assignment& assignment, double grace_period_s) {
   assignment.stopping = true;
   assignment.grace_period_s = grace_period_s;
-  send_command(machine, {Command{CommandType::stop, assignment.task, assignment.attempt, grace_period_s}});
+  return {CommandType::stop, assignment.task, assignment.attempt, grace_period_s};
 }
 
 void Leader::stop_all(const Job& job) {
@@ -581,10 +584,8 @@
     auto* machine = fleet_.find(host);
     if (machine == nullptr) continue;
     const auto assignment = machine->assignments.find({job.spec.id, index});
-    if (assignment == machine->assignments.end()) continue;
-    assignment->second.stopping = true;
-    assignment->second.grace_period_s = 0;
-    commands[host].push_back({CommandType::stop, assignment->first, assignment->second.attempt, 0});
+    if (assignment != machine->assignments.end())
+      commands[host].push_back(mark_stopping(assignment->second, 0));
   }
   for (auto& [host, list] : commands) send_command(*fleet_.find(host), std::move(list));
 }
--- a/src/leader/leader.cpp
+++ b/src/leader/leader.cpp
@@ -491,6 +491,7 @@
   }
   write_quota(false);
   apply_gang_actions();
+  review_preemptions();
   if (now >= next_progress_) publish_progress();
   if (now >= next_summary_) log_summary();
   reachability_probe_.tick(term_began_at_);
--- a/src/leader/leader.hpp
+++ b/src/leader/leader.hpp
@@ -129,8 +129,9 @@
   };
   struct MachineSearch {  // for a task; if no machine was found, why
     model::Machine* machine = nullptr;
+    bool preempted = false;   // tasks were stopped there for it
     bool own_reason = false;  // one with room was passed over for a reason that is this task's own
-    bool reserved = false;    // one was that is reserved for another, which only shorter tasks may use
+    bool reserved = false;    // one was that is reserved for another, which only some tasks may use
   };
   enum class PreemptionState {
     may_search,   // for tasks to stop
@@ -220,7 +221,7 @@
   void adopt_task(model::Machine& machine, const wire::TaskStatus& task_status);
   void remove_assignment(model::Machine& machine, const wire::TaskId& task_id);
   void on_new_agent_epoch(model::Machine& machine, wire::AgentEpoch agent_epoch);
-  void stop_task(model::Machine& machine, model::Assignment& assignment, double grace_period_s);
+  static wire::Command mark_stopping(model::Assignment& assignment, double grace_period_s);
   void stop_all(const model::Job& job);
   void add_assignment(model::Machine& machine, model::Assignment assignment);
   void book(const model::Assignment& assignment, double sign);
@@ -268,12 +269,19 @@
   bool crowded(const model::Machine& machine, const model::Job& job) const;
 
   // Preemption (preempting.cpp)
-  bool preempt(model::Job& job, bool with_image);
-  PreemptionState preemption_state(const model::Job& job, bool with_image) const;
+  // For a service that found a machine without its image: `instead_of`.
+  bool preempt(model::Job& job, const model::Machine* instead_of = nullptr);
+  PreemptionState preemption_state(const model::Job& job) const;
+  bool could_preempt_on(const model::Machine& machine, const model::Job& job) const;
+  double longest_stop_s(const PreemptionCandidate& chosen) const;
+  double grace_period_s(const wire::JobId& id) const;
+  void review_preemptions();
+  bool waited_too_long(const queue::Preemption& preemption, const model::Machine& machine) const;
+  model::Machine* preempted_machine(const model::Job& job);
   bool may_reclaim_borrowed(const model::Job& job) const;
   bool could_run_on(const model::Machine& machine, const model::Job& job) const;
   void stop_victims(const PreemptionCandidate& chosen, const model::Job& job);
-  void note_victim_gone(const model::Machine& machine, const wire::TaskId& task);
+  void note_gone(const model::Machine& machine, const model::Assignment& assignment);
   void log_ended_preemptions();
 
   // Replicas that span machines (gangs.cpp)
--- a/src/leader/placement.cpp
+++ b/src/leader/placement.cpp
@@ -141,8 +141,8 @@
   const auto& id = job.spec.id;
   if (!preemption_reservations_.allows(machine.id, id, priority, job.spec.request, machine.available(), now))
     return true;
-  if (job.is_service()) return false;
   if (job.ready < 2 && preemption_reservations_.pending_elsewhere(id, machine.id, now)) return true;
+  if (job.is_service()) return false;
   return !backfill_reservations_.allows(machine.id, id, now, task_s(job));
 }
 
@@ -238,6 +238,8 @@
   if (!may_act() || machine_types_.empty() || loop().now() < unread_leases_until_) return answer_pending();
   apply_gang_actions();
   move_gangs();
+  review_preemptions();
+  preemption_reservations_.pass_begins();
   const auto& order = queue_.in_order({loop().now(), loop().wall()});
   place_with_next_order();
   PlacementTurn turn;
@@ -248,6 +250,7 @@
   }
   send_starts(turn);
   answer_pending();
+  if (turn.binds_left > 0) preemption_reservations_.pass_over();
   log_ended_preemptions();
   if (turn.tasks_wait) plan_soon();
   // Bounded, so that leases, reports and probes are never late behind thousands of tasks.
@@ -291,15 +294,25 @@
     const auto search = hopeless ? MachineSearch{} : find_machine(job);
     if (search.machine == nullptr) return wait_for_machine(job, search, hopeless, turn);
     // A service that would have to wait for its image starts sooner where a batch makes room beside it.
-    if (job.is_service() && !search.machine->images.contains(job.spec.image) && preempt(job, true)) return;
+    const bool must_fetch = !search.machine->images.contains(job.spec.image);
+    if (job.is_service() && must_fetch && !search.preempted && preempt(job, search.machine) && job.ready < 2)
+      return;
     start_task(*search.machine, job, index, turn);
-    if (first_only) return note_begun_early(job);
+    if (first_only) {
+      search.machine->assignments.at({job.spec.id, index}).begun_before_others = true;
+      return note_begun_early(job);
+    }
   }
 }
 
-// Steady machines first, then preemptible ones if the job allows them.
+// Where room was made for it, else steady machines first, then preemptible ones if the job allows them.
 Leader::MachineSearch Leader::find_machine(const Job& job) {
   MachineSearch search;
+  if (auto* const machine = preempted_machine(job)) {
+    search.machine = machine;
+    search.preempted = true;
+    return search;
+  }
   search.own_reason = needs_service_reserve(job);
   if (!search.own_reason) pick(job, false, search);
   if (search.machine == nullptr && job.spec.allows_preemptible) pick(job, true, search);
@@ -322,18 +335,19 @@
   turn.tasks_wait = true;
   if (!job.faulty) job.reason = kNoMachineHasRoom;
   if (!hopeless && !search.own_reason && !job.spec.machine_types && !job.spec.zone)
-    turn.unplaceable.add({job.spec.request, job.spec.allows_preemptible, search.reserved ? task_s(job) : 0});
+    turn.unplaceable.add({job.spec.request, job.spec.allows_preemptible, search.reserved ? task_s(job) : 0,
+                          search.reserved ? effective_priority(job) : wire::Priority::production});
   // Also when less is free in all than it needs, as in any full fleet.
   if (queue_.overdue(job, loop().wall()) && reserve_for_backfill(job)) job.reason = kDrains;
   if (job.faulty || turn.preemptions_left == 0) return;
   --turn.preemptions_left;
-  preempt(job, false);
+  preempt(job);
 }
 
 void Leader::start_task(Machine& machine, Job& job, std::uint32_t index, PlacementTurn& turn) {
   assign(machine, job, index);
   backfill_reservations_.release(job.spec.id);
-  preemption_reservations_.placed(job.spec.id, machine.id, job.ready > 0);
+  preemption_reservations_.placed(job.spec.id, machine.id, job.ready > 0, effective_priority(job));
   --turn.binds_left;
   const wire::TaskId task{job.spec.id, index};
   // A machine whose heartbeat waits for its answer gets the order with it.
@@ -371,6 +385,7 @@
   double best_at = std::numeric_limits<double>::max();
   fleet_.visit_after(backfill_cursor_, kMachinesLookedAt, [&](const Machine& machine) {
     if (!drains(machine) || backfill_reservations_.reserved(machine.id)) return;
+    if (preemption_reservations_.reserved(machine.id, now)) return;
     if (!could_run_on(machine, job) || job.failed_on.contains(machine.id)) return;
     const auto at = has_room_at(machine, job.spec.request);
     if (!at || *at >= best_at) return;
--- a/src/leader/preempting.cpp
+++ b/src/leader/preempting.cpp
@@ -1,27 +1,32 @@
 // Preemption: which tasks are stopped for a job that finds no machine, and what becomes of the room
 // (docs/DESIGN.md, "Preemption by rank and for guarantees").
+#include <algorithm>
+
 #include "leader/leader.hpp"
 
 namespace bankhill::leader {
 
 using model::Job;
 using model::Machine;
+using queue::task_s;
 
 namespace {
 // In control intervals.
-constexpr double kRoomComes = 0.15;  // that a task needs to stop and tell
-constexpr double kRoomPaces = 4;     // for which room that was made is its task's alone
-constexpr double kServiceRoomPaces = 2;
-constexpr double kSearchAgain = 0.2;           // after which a batch looks for others to stop again
+constexpr double kRoomPaces = 4;         // for which a batch waits for the room that was made for it
+constexpr double kServiceRoomPaces = 2;  // the same for a service
+constexpr double kStopPaces =
+    8;  // the same for any, where the machine was heard since: the stop is under way
+constexpr double kLostStartPaces = 2;  // for which room is waited for again after a start there was lost
+constexpr double kSearchAgain = 0.2;   // after which a batch looks for others to stop again
 constexpr std::size_t kMachinesSearched = 48;  // for tasks to stop, at a time
 constexpr double kRounding = 1e-6;
 }  // namespace
 
-// Preemption: stops tasks that the selector chooses on one machine, so that a task of the job can start.
-// `with_image`: only where the image is. Says whether room is on its way.
-bool Leader::preempt(Job& job, bool with_image) {
+// Stops tasks that the selector chooses on one machine, so that a task of the job can start. Says whether
+// room is on its way.
+bool Leader::preempt(Job& job, const Machine* instead_of) {
   const double now = loop().now();
-  switch (preemption_state(job, with_image)) {
+  switch (preemption_state(job)) {
     case PreemptionState::room_coming:
       return true;
     case PreemptionState::wait:
@@ -30,21 +35,24 @@
       break;
   }
   job.preemption_tried_at = now;
-  const Preemptor preemptor{job, effective_priority(job), may_reclaim_borrowed(job)};
+  Preemptor preemptor{job, effective_priority(job), may_reclaim_borrowed(job)};
+  // What takes longer to stop than the image to fetch makes it start no sooner.
+  if (instead_of != nullptr)
+    preemptor.longest_stop_s =
+        image_pull_s(job, {instead_of->machine_type, instead_of->zone, instead_of->preemptible});
   if (!preemptor.reclaims_borrowed && quota_.cores_below(preemptor.priority) < kRounding) return false;
   const auto allowed = [&](const Machine& machine) {
-    if (preemption_reservations_.reserved(machine.id, now) || !could_run_on(machine, job)) return false;
-    return (!with_image || machine.images.contains(job.spec.image)) && !crowded(machine, job);
+    return could_preempt_on(machine, job) &&
+           (instead_of == nullptr || machine.images.contains(job.spec.image));
   };
   // A part of the fleet at a time, going round: the best of some dozens is hardly worse than the best of all.
   const auto chosen = victim_selector_.choose(fleet_, kMachinesSearched, preemptor, allowed, now);
   if (!chosen) return false;
   job.preempted_at = now;
-  job.preempted_room_has_image = !chosen->cost.lacks_image;
-  const double room_paces = job.is_service() ? kServiceRoomPaces : kRoomPaces;
-  const auto number =
-      preemption_reservations_.reserve(job.spec.id, chosen->machine_id, preemptor.priority, job.spec.request,
-                                       now, now + room_paces * settings_.control_interval_s);
+  const double paces = job.is_service() ? kServiceRoomPaces : kRoomPaces;
+  const auto number = preemption_reservations_.reserve(
+      job.spec.id, chosen->machine_id, preemptor.priority, job.spec.request, now,
+      now + longest_stop_s(*chosen) + paces * settings_.control_interval_s);
   log_->debug("preemption {}: makes room on {} for job {} ({}{}{}), {} tasks are stopped", number,
               chosen->machine_id.value, job.spec.id.value, name_of(preemptor.priority),
               job.is_service() ? ", a service" : "", preemptor.reclaims_borrowed ? ", reclaims" : "",
@@ -53,26 +61,80 @@
   return true;
 }
 
+// Whether a task of the job could start there at once if it had room: else others were stopped in vain.
+bool Leader::could_preempt_on(const Machine& machine, const Job& job) const {
+  const double now = loop().now();
+  const wire::TaskId next_task{job.spec.id, job.cursor};
+  return !preemption_reservations_.machines().contains(machine.id) && could_run_on(machine, job) &&
+         suits(machine, job, next_task) &&
+         (job.is_service() || backfill_reservations_.allows(machine.id, job.spec.id, now, task_s(job)));
+}
+
+double Leader::grace_period_s(const wire::JobId& id) const { return checkpoint_grace_s(jobs_.at(id).spec); }
+
+double Leader::longest_stop_s(const PreemptionCandidate& chosen) const {
+  double longest = 0;
+  for (const auto& victim : chosen.victims) longest = std::max(longest, grace_period_s(victim.job));
+  return longest;
+}
+
 // Whether other tasks may be stopped for the job now.
-Leader::PreemptionState Leader::preemption_state(const Job& job, bool with_image) const {
+Leader::PreemptionState Leader::preemption_state(const Job& job) const {
   const double now = loop().now();
-  // What was stopped for it before is on its way.
-  if (now - job.preempted_at < settings_.control_interval_s) {
-    // Room made where the image is not is all that it gets: waiting on for a better one, a service left it to
-    // the next batch and made room again each control interval, 20 s down after its machine died (lakaskalk,
-    // troubles).
-    const bool comes = now - job.preempted_at < kRoomComes * settings_.control_interval_s;
-    return comes && (!with_image || job.preempted_room_has_image) ? PreemptionState::room_coming
-                                                                  : PreemptionState::wait;
-  }
-  if (job.is_service()) return PreemptionState::may_search;
   if (preemption_reservations_.pending(job.spec.id, now)) return PreemptionState::room_coming;
+  if (now - job.preempted_at < settings_.control_interval_s) return PreemptionState::wait;
+  if (job.is_service()) return PreemptionState::may_search;
   // A batch in a flood is one of thousands that look for room at each event.
   return now - job.preemption_tried_at < kSearchAgain * settings_.control_interval_s
              ? PreemptionState::wait
              : PreemptionState::may_search;
 }
 
+// The machine where room was made for the job's task, once it is there.
+Machine* Leader::preempted_machine(const Job& job) {
+  const auto* machine_id = preemption_reservations_.machine_of(job.spec.id, loop().now());
+  if (machine_id == nullptr) return nullptr;
+  auto* machine = fleet_.find(*machine_id);
+  const bool usable = machine != nullptr && machine->takes_tasks() && !machine->overdue &&
+                      job.spec.request.fits(machine->available()) &&
+                      suits(*machine, job, {job.spec.id, job.cursor});
+  return usable && preemption_reservations_.machines().at(*machine_id).has_room() ? machine : nullptr;
+}
+
+// Ends what can be used no more, and lets go the jobs that have waited for too long. Few are under way.
+void Leader::review_preemptions() {
+  std::vector<std::pair<wire::MachineId, queue::PreemptionEnd>> over;
+  std::vector<wire::MachineId> too_late;
+  for (const auto& [machine_id, preemption] : preemption_reservations_.machines()) {
+    const auto* machine = fleet_.peek(machine_id);
+    const bool filled = preemption.phase == queue::PreemptionPhase::filled;
+    if (machine == nullptr || (!filled && (machine->terminating || machine->draining)))
+      over.emplace_back(machine_id, queue::PreemptionEnd::machine_lost);
+    else if (preemption.phase != queue::PreemptionPhase::bound)
+      continue;
+    else if (preemption.has_room() && !preemption.request.fits(machine->available()))
+      over.emplace_back(machine_id, queue::PreemptionEnd::taken);
+    else if (waited_too_long(preemption, *machine))
+      too_late.push_back(machine_id);
+    else
+      preemption_reservations_.extend(machine_id, loop().now() + settings_.control_interval_s);
+  }
+  for (const auto& [machine_id, how] : over) preemption_reservations_.end(machine_id, how);
+  for (const auto& machine_id : too_late) preemption_reservations_.open(machine_id);
+  if (!over.empty() || !too_late.empty()) place_soon();
+}
+
+// A machine that was heard since carries out the stop, however long its news take; one that was not may be
+// gone.
+bool Leader::waited_too_long(const queue::Preemption& preemption, const Machine& machine) const {
+  const double now = loop().now();
+  const double interval = settings_.control_interval_s;
+  if (preemption.has_room())
+    return now > std::max(preemption.until, preemption.room_at + kRoomPaces * interval);
+  const bool heard = machine.last_contact > preemption.decided_at && !machine.overdue;
+  return now > preemption.until && !(heard && now - preemption.decided_at < kStopPaces * interval);
+}
+
 // Stopped work is mostly lost, and borrowed room comes back by itself as tasks end: taken back by force is
 // only what long tasks would not give back soon, when a whole round has not brought enough.
 bool Leader::may_reclaim_borrowed(const Job& job) const {
@@ -86,26 +148,34 @@
          zone_allows(job, machine.zone) && job.spec.request.fits(machine.capacity);
 }
 
+// All in one request: of stops that travel apart one may arrive when the room is taken already.
 void Leader::stop_victims(const PreemptionCandidate& chosen, const Job& job) {
   auto& machine = *fleet_.find(chosen.machine_id);
+  std::vector<wire::Command> stops;
   for (const auto& victim : chosen.victims) {
+    auto& assignment = machine.assignments.at(victim);
+    preemption_reservations_.add_victim(machine.id, victim, assignment.priority);
     if (const auto span = gangs_.tracker().span(victim.job); span > 1) {  // whole, or not at all
       gangs_.tracker().evict({victim.job, victim.index / span}, loop().now());
       continue;
     }
-    const auto& spec = jobs_.at(victim.job).spec;
     log_->debug("job {}: {} makes room for it", job.spec.id.value, victim.text());
     ++event_counts_["tasks made room"];
-    preemption_reservations_.add_victim(machine.id, victim);
-    stop_task(machine, machine.assignments.at(victim),
-              spec.checkpoint_interval_s > 0 ? spec.checkpoint_duration_s : 0);
+    stops.push_back(mark_stopping(assignment, grace_period_s(victim.job)));
   }
+  if (!stops.empty()) send_command(machine, std::move(stops));
   apply_gang_actions();
 }
 
-// One of the tasks that were stopped to make room may be gone.
-void Leader::note_victim_gone(const Machine& machine, const wire::TaskId& task) {
-  if (const auto number = preemption_reservations_.victim_gone(machine.id, task); number > 0)
+// A task that is gone may be one that was stopped to make room, or the one that the room was made for.
+void Leader::note_gone(const Machine& machine, const model::Assignment& assignment) {
+  const auto& task = assignment.task;
+  if (assignment.state == model::AssignmentState::sent)
+    preemption_reservations_.start_lost(task.job, machine.id,
+                                        loop().now() + kLostStartPaces * settings_.control_interval_s);
+  else
+    preemption_reservations_.start_arrived(task.job, machine.id);
+  if (const auto number = preemption_reservations_.victim_gone(machine.id, task, loop().now()); number > 0)
     log_->debug("preemption {}: {} is gone from {}", number, task.text(), machine.id.value);
 }
 
--- a/src/leader/preemption.hpp
+++ b/src/leader/preemption.hpp
@@ -5,6 +5,7 @@
 #pragma once
 
 #include <functional>
+#include <limits>
 #include <map>
 #include <optional>
 #include <vector>
@@ -34,8 +35,13 @@
   const model::Job& job;
   wire::Priority priority = wire::Priority::normal;  // with that of the jobs that depend on it
   bool reclaims_borrowed = false;                    // also what other teams hold above their guarantees
+  // Only tasks that have stopped after so long at the most, checkpoint included.
+  double longest_stop_s = std::numeric_limits<double>::max();
 };
 
+// Seconds that a task of the job is given to save a checkpoint when it is stopped.
+double checkpoint_grace_s(const wire::JobSpec& spec);
+
 class VictimSelector {
  public:
   using Jobs = std::map<wire::JobId, model::Job>;
--- a/src/leader/unplaceable_requests.hpp
+++ b/src/leader/unplaceable_requests.hpp
@@ -16,6 +16,8 @@
     bool allows_preemptible = false;
     // Tasks that run for less may still find one: among what is reserved for others until then.
     double min_runtime_s = 0;
+    // Tasks that rank above this may still find one: among the room that preemption made.
+    wire::Priority max_priority = wire::Priority::production;
   };
 
   void add(const Request& request) { requests_.push_back(request); }
--- a/src/model/machine.hpp
+++ b/src/model/machine.hpp
@@ -28,7 +28,8 @@
   std::string job_class;  // class of its job
   wire::Priority priority = wire::Priority::normal;
   bool service = false;
-  bool largest = false;  // of its class, when it was bound
+  bool largest = false;              // of its class, when it was bound
+  bool begun_before_others = false;  // the one task that its job's long wait put before all other batches
   wire::Resources request;
   wire::AgentEpoch agent_epoch;  // agent epoch in which it was told to start
   AssignmentState state = AssignmentState::sent;
--- a/src/queue/job_queue.cpp
+++ b/src/queue/job_queue.cpp
@@ -79,7 +79,8 @@
           job.spec.request,
           job.spec.allows_preemptible,
           task_s(job),
-          false};
+          false,
+          job.spec.priority};
 }
 
 // The floor under slack, guarantees and turns: one task, so that they cost next to nothing. Ages count from
--- a/src/queue/job_queue.hpp
+++ b/src/queue/job_queue.hpp
@@ -45,6 +45,7 @@
   bool allows_preemptible = false;
   double task_s = 0;
   bool first_only = false;  // this is for its first task; the others stand at another place
+  wire::Priority priority = wire::Priority::best_effort;  // its own
 };
 
 class JobQueue {
--- a/src/queue/preemption_reservations.hpp
+++ b/src/queue/preemption_reservations.hpp
@@ -1,6 +1,13 @@
-// Room on its way: tasks were stopped on a machine so that a task of this job can start there. Until it has,
-// the room is nobody else's: by slack, what was stopped may well come before it, and went back to where it
-// had been. Pure; times are seconds on the caller's steady clock.
+// The life of a preemption: tasks were stopped on a machine so that a task of a waiting job can start there.
+// From the decision until that task is placed the room is reserved, for by slack what was stopped may well
+// come before it and would go back to where it had been. Pure; times are seconds on the caller's steady
+// clock.
+//
+// A reservation is bound to its job first: one task of the job waits for it and for no other room. If that
+// task cannot use it any more (the job is over or waited too long, or its task started beside the victims),
+// the room is open to whatever ranks above the victims, so that they are not stopped in vain, until one pass
+// over the waiting jobs has found no use for it. Filled, it is over once the start is known to have arrived;
+// if the start is lost it is bound to its job again.
 #pragma once
 
 #include <cstdint>
@@ -14,15 +21,37 @@
 
 // What became of the room that a preemption made.
 enum class PreemptionEnd {
-  used,               // the task that it was made for was placed there
+  used,               // the task that it was made for was placed there, or one above the victims
+  taken,              // work of higher priority left too little of it
   started_elsewhere,  // the job's last waiting task was placed on another machine
   job_over,           // the job was cancelled or is done
   made_again,         // tasks were stopped on another machine for the same job
   machine_reused,     // tasks were stopped on the same machine for another job
-  expired             // neither came in time
+  machine_lost,       // the machine takes no more tasks
+  unwanted,           // nothing that ranks above the victims waits for it
+  expired             // the time was over before any of this
 };
 const char* text(PreemptionEnd end);
 
+enum class PreemptionPhase { bound, open, filled };
+
+struct Preemption {
+  std::uint64_t number = 0;  // names it in the log
+  PreemptionPhase phase = PreemptionPhase::bound;
+  wire::JobId job;
+  wire::Priority priority = wire::Priority::normal;
+  wire::Resources request;
+  double decided_at = 0;
+  double until = 0;                 // bound to its job for so long
+  std::set<wire::TaskId> stopping;  // victims that are not known to be gone
+  std::size_t victims = 0;
+  wire::Priority victims_priority = wire::Priority::best_effort;  // the highest
+  double room_at = 0;                                             // when the last of them was gone
+  bool in_pass = false;  // was open and had room when the present pass over the waiting jobs began
+
+  bool has_room() const { return stopping.empty(); }
+};
+
 struct EndedPreemption {
   std::uint64_t number = 0;
   wire::JobId job;
@@ -33,46 +62,59 @@
 
 class PreemptionReservations {
  public:
+  using Machines = std::map<wire::MachineId, Preemption>;
+
   // The job's task of that rank needs so much there, and is waited for until then. Returns the preemption's
-  // number, which names it in the log.
+  // number.
   std::uint64_t reserve(const wire::JobId& job, const wire::MachineId& machine_id, wire::Priority priority,
                         const wire::Resources& request, double now, double until);
   // A task that is stopped there to make the room.
-  void add_victim(const wire::MachineId& machine_id, const wire::TaskId& task);
+  void add_victim(const wire::MachineId& machine_id, const wire::TaskId& task, wire::Priority priority);
   // A task is gone from the machine. Returns the number of the preemption that waited for it, or 0.
-  std::uint64_t victim_gone(const wire::MachineId& machine_id, const wire::TaskId& task);
-  // Those that ended since this was last asked.
-  std::vector<EndedPreemption> take_ended();
+  std::uint64_t victim_gone(const wire::MachineId& machine_id, const wire::TaskId& task, double now);
+  // The job's task waits for it until then.
+  void extend(const wire::MachineId& machine_id, double until);
+  // The job's task waits for it no longer.
+  void open(const wire::MachineId& machine_id);
+  // The room is anybody's.
+  void end(const wire::MachineId& machine_id, PreemptionEnd how);
   // A task of the job was placed there; `more` of its tasks wait.
-  void placed(const wire::JobId& job, const wire::MachineId& machine_id, bool more);
+  void placed(const wire::JobId& job, const wire::MachineId& machine_id, bool more,
+              wire::Priority priority = wire::Priority::production);
+  // The start of the job's task there has arrived, or it never will and the room is waited for until then.
+  void start_arrived(const wire::JobId& job, const wire::MachineId& machine_id);
+  void start_lost(const wire::JobId& job, const wire::MachineId& machine_id, double until);
   // The job needs none any more.
   void release(const wire::JobId& job);
+  // All waiting jobs are tried, and were: what was open throughout and was not used is anybody's.
+  void pass_begins();
+  void pass_over();
+
   // Over slow links a stop and its news take longer than a control interval: made again meanwhile on the next
   // machine, and the next, one batch stopped what it needed several times over.
   bool pending(const wire::JobId& job, double now) const;
+  // The machine with the room that the job's task waits for; nothing if none does.
+  const wire::MachineId* machine_of(const wire::JobId& job, double now) const;
   bool reserved(const wire::MachineId& machine_id, double now) const;
   // Whether a task of another job may start in what is free there: in what is left, or before lower ranks.
   bool allows(const wire::MachineId& machine_id, const wire::JobId& job, wire::Priority priority,
               const wire::Resources& request, const wire::Resources& room, double now) const;
   // Whether the job's only task waits for room elsewhere: started here, others were stopped for nothing.
   bool pending_elsewhere(const wire::JobId& job, const wire::MachineId& here, double now) const;
+  const Machines& machines() const { return machines_; }
+  // Those that ended since this was last asked.
+  std::vector<EndedPreemption> take_ended();
   void reset();
 
  private:
-  struct Reservation {
-    std::uint64_t number = 0;
-    wire::JobId job;
-    wire::Priority priority = wire::Priority::normal;
-    wire::Resources request;
-    double until = 0;
-    std::set<wire::TaskId> victims;  // not known to be gone
-  };
-  using Reservations = std::map<wire::MachineId, Reservation>;
-  Reservations::iterator end(Reservations::iterator reservation, PreemptionEnd how);
-  void end_of(const wire::JobId& job, PreemptionEnd how);
+  Machines::iterator end(Machines::iterator item, PreemptionEnd how);
+  // Leaves the room to others that rank above the victims, if there are any.
+  void open_or_end(const wire::JobId& job, PreemptionEnd how);
+  void open(Machines::iterator item);
+  Preemption* filled(const wire::JobId& job, const wire::MachineId& machine_id);
 
-  Reservations machines_;
-  std::map<wire::JobId, wire::MachineId> jobs_;
+  Machines machines_;
+  std::map<wire::JobId, wire::MachineId> jobs_;  // of those that are bound
   std::vector<EndedPreemption> ended_;
   std::uint64_t last_number_ = 0;
 };
--- a/tests/preemption_reservations_test.cpp
+++ b/tests/preemption_reservations_test.cpp
@@ -3,6 +3,8 @@
 
 #include <gtest/gtest.h>
 
+#include <vector>
+
 namespace bankhill::queue {
 namespace {
 
@@ -108,5 +110,137 @@
   EXPECT_TRUE(room.pending(kOther, 35));
 }
 
+// ---- with the tasks that were stopped
+
+const wire::TaskId kFirst{kOther, 0};
+const wire::TaskId kSecond{kOther, 1};
+
+// Two tasks, the higher of normal priority, are stopped for a task of high priority.
+PreemptionReservations stopped_two() {
+  PreemptionReservations room;
+  room.reserve(kJob, kMachine, Priority::high, kRequest, 10, 20);
+  room.add_victim(kMachine, kFirst, Priority::best_effort);
+  room.add_victim(kMachine, kSecond, Priority::normal);
+  return room;
+}
+
+bool may_use(const PreemptionReservations& room, Priority priority) {
+  return room.allows(kMachine, wire::JobId{"third"}, priority, kRequest, kRequest, 12);
+}
+
+std::vector<PreemptionEnd> ends(PreemptionReservations& room) {
+  std::vector<PreemptionEnd> result;
+  for (const auto& ended : room.take_ended()) result.push_back(ended.end);
+  return result;
+}
+
+using Ends = std::vector<PreemptionEnd>;
+
+TEST(PreemptionLifeTest, HasRoomOnceAllVictimsAreGone) {
+  auto room = stopped_two();
+  EXPECT_EQ(room.victim_gone(kElsewhere, kFirst, 11), 0U);
+  EXPECT_EQ(room.victim_gone(kMachine, {kJob, 0}, 11), 0U);
+  EXPECT_EQ(room.victim_gone(kMachine, kFirst, 11), 1U);
+  EXPECT_EQ(room.victim_gone(kMachine, kFirst, 11), 0U);
+  EXPECT_FALSE(room.machines().at(kMachine).has_room());
+  EXPECT_EQ(room.victim_gone(kMachine, kSecond, 12), 1U);
+  EXPECT_TRUE(room.machines().at(kMachine).has_room());
+  EXPECT_EQ(room.machines().at(kMachine).room_at, 12);
+}
+
+// Of a job that needs the room no more it goes to what ranks above the victims.
+TEST(PreemptionLifeTest, IsOpenToWhatRanksAboveTheVictimsWhenItsJobIsOver) {
+  auto room = stopped_two();
+  EXPECT_FALSE(may_use(room, Priority::high));
+  room.release(kJob);
+  EXPECT_FALSE(room.pending(kJob, 12));
+  EXPECT_TRUE(room.reserved(kMachine, 1000));
+  EXPECT_TRUE(may_use(room, Priority::high));
+  EXPECT_FALSE(may_use(room, Priority::normal));
+}
+
+TEST(PreemptionLifeTest, IsAnybodysAfterAPassThatHadNoUseForIt) {
+  auto room = stopped_two();
+  room.release(kJob);
+  room.pass_begins();
+  room.pass_over();
+  EXPECT_TRUE(room.reserved(kMachine, 12));  // not there yet
+  room.pass_begins();
+  room.victim_gone(kMachine, kFirst, 13);
+  room.victim_gone(kMachine, kSecond, 13);
+  room.pass_over();
+  EXPECT_TRUE(room.reserved(kMachine, 13));  // only since this pass
+  room.pass_begins();
+  room.pass_over();
+  EXPECT_FALSE(room.reserved(kMachine, 13));
+  EXPECT_EQ(ends(room), Ends{PreemptionEnd::unwanted});
+}
+
+TEST(PreemptionLifeTest, IsStillToBeUsedWhenItsTaskStartedBesideTheVictims) {
+  auto room = stopped_two();
+  room.placed(kJob, kMachine, true, Priority::high);
+  EXPECT_FALSE(room.pending(kJob, 12));
+  EXPECT_TRUE(may_use(room, Priority::high));
+  EXPECT_FALSE(may_use(room, Priority::normal));
+  // What ranks no higher than the victims and finds room beside it leaves it as it is.
+  room.victim_gone(kMachine, kFirst, 12);
+  room.victim_gone(kMachine, kSecond, 12);
+  room.placed(kOther, kMachine, true, Priority::normal);
+  EXPECT_TRUE(room.reserved(kMachine, 12));
+  room.placed(kOther, kMachine, true, Priority::high);
+  EXPECT_FALSE(room.reserved(kMachine, 12));
+  room.start_arrived(kOther, kMachine);
+  EXPECT_EQ(ends(room), Ends{PreemptionEnd::used});
+}
+
+TEST(PreemptionLifeTest, IsWaitedForAgainWhenTheStartIsLost) {
+  auto room = stopped_two();
+  room.victim_gone(kMachine, kFirst, 11);
+  room.victim_gone(kMachine, kSecond, 11);
+  room.placed(kJob, kMachine, true, Priority::high);
+  EXPECT_FALSE(room.pending(kJob, 12));
+  EXPECT_TRUE(room.machines().contains(kMachine));
+  room.start_lost(kOther, kMachine, 18);
+  EXPECT_FALSE(room.pending(kJob, 12));
+  room.start_lost(kJob, kMachine, 18);
+  EXPECT_TRUE(room.pending(kJob, 18));
+  EXPECT_FALSE(may_use(room, Priority::normal));
+  room.placed(kJob, kMachine, true, Priority::high);
+  room.start_arrived(kJob, kMachine);
+  EXPECT_FALSE(room.machines().contains(kMachine));
+  EXPECT_EQ(ends(room), Ends{PreemptionEnd::used});
+  // Nothing is left that could be lost.
+  room.start_lost(kJob, kMachine, 30);
+  EXPECT_FALSE(room.pending(kJob, 20));
+}
+
+// Meanwhile other room was made for the job's next task: that is the one it waits for.
+TEST(PreemptionLifeTest, IsOpenWhenTheStartIsLostAndItsJobWaitsElsewhere) {
+  auto room = stopped_two();
+  room.victim_gone(kMachine, kFirst, 11);
+  room.victim_gone(kMachine, kSecond, 11);
+  room.placed(kJob, kMachine, true, Priority::high);
+  room.reserve(kJob, kElsewhere, Priority::high, kRequest, 12, 22);
+  room.start_lost(kJob, kMachine, 18);
+  EXPECT_EQ(*room.machine_of(kJob, 12), kElsewhere);
+  EXPECT_TRUE(may_use(room, Priority::high));
+  EXPECT_FALSE(may_use(room, Priority::normal));
+}
+
+TEST(PreemptionLifeTest, IsBoundForLongerOnlyWhileItIsBound) {
+  auto room = stopped_two();
+  room.extend(kMachine, 30);
+  EXPECT_TRUE(room.pending(kJob, 30));
+  room.extend(kMachine, 15);
+  EXPECT_TRUE(room.pending(kJob, 30));
+  room.open(kMachine);
+  room.extend(kMachine, 40);
+  EXPECT_FALSE(room.pending(kJob, 12));
+  room.end(kMachine, PreemptionEnd::machine_lost);
+  EXPECT_FALSE(room.reserved(kMachine, 12));
+  EXPECT_EQ(ends(room), Ends{PreemptionEnd::machine_lost});
+  EXPECT_EQ(ends(room), Ends{});
+}
+
 }  // namespace
 }  // namespace bankhill::queue
