--- a/tests/lease_forecast_test.cpp
+++ b/tests/lease_forecast_test.cpp
@@ -4,7 +4,7 @@
 // What happened: all controllers were away for over a lease; when they were back tasks were started on
 // machines that had answered a direct request, and killed when the agent epoch ended before its first
 // heartbeat was answered (NobodyBack.LosesNoStartToALeaseThatEnds, 7 starts lost). Why: only answered
-// heartbeats extend a lease; the epoch had begun while nobody was there. The log of seed 606 with five
+// heartbeats extend a lease; the epoch had begun while nobody was there. The log of seed 605 with five
 // controllers:
 //   107.986436 machine n-000000: job-000001/5 is assigned in agent epoch 4, never answered, 0.0 s into the
 //   term 108.412643 machine n-000000: job-000001/5, assigned 0.4 s ago, is gone with agent epoch 4
