Preemption: the limits on waiting for room are reached, and a job that is over binds none

They now count from the decision, the room's arrival or the loss of a start, and a machine known not to hear is waited for no longer than one that was not heard. A start that was lost as its job ended bound the room to that job again, found by reading; it is open now. Members of replicas are marked as stopping in the same place as all others.

--- a/src/leader/gangs.cpp
+++ b/src/leader/gangs.cpp
@@ -73,10 +73,7 @@
     if (machine == nullptr) continue;
     const auto assignment = machine->assignments.find({action.replica.first, action.task});
     if (assignment == machine->assignments.end()) continue;
-    assignment->second.stopping = true;
-    assignment->second.grace_period_s = 0;
-    commands[action.machine_id].push_back(
-        {CommandType::stop, assignment->first, assignment->second.attempt, 0});
+    commands[action.machine_id].push_back(mark_stopping(assignment->second, 0));
     ++event_counts_["members of replicas stopped"];
   }
   for (auto& [host, list] : commands) send_command(*fleet_.find(host), std::move(list));
--- a/src/leader/leader.hpp
+++ b/src/leader/leader.hpp
@@ -279,7 +279,7 @@
   double longest_stop_s(const PreemptionCandidate& chosen) const;
   double grace_period_s(const wire::JobId& id) const;
   void review_preemptions();
-  bool waited_too_long(const queue::Preemption& preemption, const model::Machine& machine) const;
+  double waits_until(const queue::Preemption& preemption, const model::Machine& machine) const;
   model::Machine* preempted_machine(const model::Job& job);
   bool may_reclaim_borrowed(const model::Job& job) const;
   bool could_run_on(const model::Machine& machine, const model::Job& job) const;
--- a/src/leader/preempting.cpp
+++ b/src/leader/preempting.cpp
@@ -114,25 +114,27 @@
       continue;
     else if (preemption.has_room() && !preemption.request.fits(machine->available()))
       over.emplace_back(machine_id, queue::PreemptionEnd::taken);
-    else if (waited_too_long(preemption, *machine))
+    else if (const double limit = waits_until(preemption, *machine); loop().now() > limit)
       too_late.push_back(machine_id);
     else
-      preemption_reservations_.extend(machine_id, loop().now() + settings_.control_interval_s);
+      preemption_reservations_.extend(machine_id, limit);
   }
   for (const auto& [machine_id, how] : over) preemption_reservations_.end(machine_id, how);
   for (const auto& machine_id : too_late) preemption_reservations_.open(machine_id);
   if (!over.empty() || !too_late.empty()) place_soon();
 }
 
-// A machine that was heard since carries out the stop, however long its news take; one that was not may be
-// gone.
-bool Leader::waited_too_long(const queue::Preemption& preemption, const Machine& machine) const {
-  const double now = loop().now();
+// A machine that was heard since carries out the stop, however long its news take; one that was not, or that
+// is known not to hear, may never do it. Counted from what happened, not from now, so that it comes to an
+// end.
+double Leader::waits_until(const queue::Preemption& preemption, const Machine& machine) const {
   const double interval = settings_.control_interval_s;
-  if (preemption.has_room())
-    return now > std::max(preemption.until, preemption.room_at + kRoomPaces * interval);
   const bool heard = machine.last_contact > preemption.decided_at && !machine.overdue;
-  return now > preemption.until && !(heard && now - preemption.decided_at < kStopPaces * interval);
+  if (preemption.has_room())
+    return std::max(preemption.planned_until, preemption.room_at + kRoomPaces * interval);
+  if (heard && !machine.downlink.considered_lost())
+    return std::max(preemption.planned_until, preemption.decided_at + kStopPaces * interval);
+  return preemption.planned_until;
 }
 
 // Stopped work is mostly lost, and borrowed room comes back by itself as tasks end: taken back by force is
@@ -170,11 +172,14 @@
 // A task that is gone may be one that was stopped to make room, or the one that the room was made for.
 void Leader::note_gone(const Machine& machine, const model::Assignment& assignment) {
   const auto& task = assignment.task;
-  if (assignment.state == model::AssignmentState::sent)
+  if (assignment.state == model::AssignmentState::sent) {
     preemption_reservations_.start_lost(task.job, machine.id,
                                         loop().now() + kLostStartPaces * settings_.control_interval_s);
-  else
+    // Lost as its job ended, it needs the room no more.
+    if (!live_.contains(task.job)) preemption_reservations_.release(task.job);
+  } else {
     preemption_reservations_.start_arrived(task.job, machine.id);
+  }
   if (const auto number = preemption_reservations_.victim_gone(machine.id, task, loop().now()); number > 0)
     log_->debug("preemption {}: {} is gone from {}", number, task.text(), machine.id.value);
 }
--- a/src/queue/preemption_reservations.cpp
+++ b/src/queue/preemption_reservations.cpp
@@ -50,7 +50,7 @@
   made.priority = priority;
   made.request = request;
   made.decided_at = made.room_at = now;
-  made.until = until;
+  made.planned_until = made.until = until;
   machines_[machine_id] = std::move(made);
   jobs_[job] = machine_id;
   return last_number_;
@@ -147,13 +147,10 @@
                                         double until) {
   auto* const made = filled(job, machine_id);
   if (made == nullptr) return;
-  made->phase = PreemptionPhase::bound;
-  made->until = until;
   // Its other tasks may have had room made elsewhere meanwhile.
-  if (!jobs_.emplace(job, machine_id).second) {
-    made->phase = PreemptionPhase::open;
-    made->until = std::numeric_limits<double>::max();
-  }
+  if (!jobs_.emplace(job, machine_id).second) return open(machine_id);
+  made->phase = PreemptionPhase::bound;
+  made->planned_until = made->until = until;
 }
 
 void PreemptionReservations::release(const wire::JobId& job) { open_or_end(job, PreemptionEnd::job_over); }
--- a/src/queue/preemption_reservations.hpp
+++ b/src/queue/preemption_reservations.hpp
@@ -42,7 +42,8 @@
   wire::Priority priority = wire::Priority::normal;
   wire::Resources request;
   double decided_at = 0;
-  double until = 0;                 // bound to its job for so long
+  double planned_until = 0;         // bound to its job for so long, as decided
+  double until = 0;                 // the same, with what it was extended by
   std::set<wire::TaskId> stopping;  // victims that are not known to be gone
   std::size_t victims = 0;
   wire::Priority victims_priority = wire::Priority::best_effort;  // the highest
