--- a/review/common/site.hpp
+++ b/review/common/site.hpp
@@ -987,6 +987,7 @@
   std::map<std::string, int> violations;
   std::vector<int> deaths;  // controllers that ended by themselves
   long answers = 0, starts = 0;
+  double late_reports = 0;  // share of the workers' reports of which a copy arrives again
   double began = 0;
   std::function<void()> each_tick;
   std::function<void(Worker& worker, const std::string& member)> on_start;
@@ -1256,6 +1257,11 @@
     next_report_ = now() + 1;
     change_ = false;
   };
+  if (site_.late_reports > 0 && site_.unit() < site_.late_reports)  // a copy arrives again later
+    site_.later(2 + 1.2 * site_.setup.lease_s * site_.unit(), [this, text = body.dump()] {
+      site_.client.send(loopback(site_.nodes[site_.loop.random()() % site_.nodes.size()]->api),
+                        {Method::post, "/v1/report", text}, 4, [](Response) {});
+    });
   if (mute || unreachable.contains(node)) return site_.later(4, [done] { done({}); });
   site_.client.send(loopback(site_.nodes[static_cast<std::size_t>(node)]->api), {Method::post, "/v1/report", body.dump()}, 4,
                     [this, done, sent](Response response) {
