--- a/review/common/site.hpp
+++ b/review/common/site.hpp
@@ -585,6 +585,7 @@
 struct Controller {
   int index = 0;
   std::string name, zone, config, output;
+  std::string run;  // instead of the deploy file's `run`
   int api = 0, peer = 0, state_port = 0, cloud_port = 0;
   std::unique_ptr<EvhttpServer> state, cloud;
   pid_t pid = 0;
@@ -693,7 +694,7 @@
     write_settings(node);
     node.output = folder_ + "/" + node.name + ".log";
     const char* run = std::getenv("BANKHILL_RUN");  // the deploy file's `run`
-    std::istringstream words(run == nullptr ? "target/bankhill --config" : run);
+    std::istringstream words(!node.run.empty() ? node.run : run == nullptr ? "target/bankhill --config" : run);
     std::vector<std::string> arguments;
     for (std::string word; words >> word;) arguments.push_back(word);
     arguments.push_back(node.config);
