Commands: a start that a draining machine does not show is taken back

Its start was lost on its way to a machine that was then drained since tasks failed there.

Cause: a started task is either started again or taken back, and two conditions that leave a gap decide which. Leader::commands_for repeats a start while the machine takes tasks; apply_heartbeat takes a start back only if it went with the response to a heartbeat. A direct start to a machine that drains is neither repeated nor taken back, and the task stays bound to a machine that a service keeps up.

The user is told `queued` without a reason: the job is assigned, not waiting.

Change: if the machine drains, each start that the heartbeat being answered does not show is withdrawn. It is stopped with every response and given up by the rule of invariant 6, once no copy of it can be executed. A line at debug and a count in the summary tell it.

--- a/src/leader/heartbeats.cpp
+++ b/src/leader/heartbeats.cpp
@@ -632,6 +632,15 @@
   return {CommandType::stop, assignment.task, assignment.attempt, grace_period_s};
 }
 
+// Withdraws a start that the heartbeat being answered does not show, from a machine that gets no more starts:
+// the start may have been lost, and the task would stay bound to the machine (invariant 6).
+void Leader::withdraw_start(const Machine& machine, Assignment& assignment) {
+  assignment.stopping = true;
+  ++event_counts_["starts withdrawn from draining machines"];
+  log_->debug("machine {}: {} has not started before the drain, its start is withdrawn", machine.id.value,
+              assignment.task.text());
+}
+
 void Leader::stop_all_tasks(const Job& job) {
   std::map<wire::MachineId, std::vector<Command>> commands;
   for (const auto& [index, machine_id] : job.task_machines) {
@@ -666,6 +675,8 @@
   std::vector<Command> commands;
   for (auto& [task_id, assignment] : machine.assignments) {
     if (commands.size() >= kMaxCommands / 2) break;
+    if (machine.draining && assignment.state == AssignmentState::sent && !assignment.stopping)
+      withdraw_start(machine, assignment);
     if (assignment.stopping) {
       commands.push_back({CommandType::stop, task_id, assignment.attempt, assignment.grace_period_s});
     } else if (assignment.state == AssignmentState::sent && machine.takes_tasks()) {
--- a/src/leader/leader.hpp
+++ b/src/leader/leader.hpp
@@ -262,6 +262,7 @@
   model::InFlightStarts possible_starts_of(wire::AttemptNumber attempt) const;
   void remove_assignment(model::Machine& machine, const wire::TaskId& task_id);
   void on_new_agent_epoch(model::Machine& machine, wire::AgentEpoch agent_epoch);
+  void withdraw_start(const model::Machine& machine, model::Assignment& assignment);
   static wire::Command mark_stopping(model::Assignment& assignment, double grace_period_s);
   void stop_all_tasks(const model::Job& job);
   void add_assignment(model::Machine& machine, model::Assignment assignment);
