Autoscaler: the machine type rented for a waiting task is one that its zone offers

Machines of a type that the zone does not offer were rented in the other zone, returned as idle after a minute and rented again.

Cause: which machine types serve a job was asked in four places with conditions of their own. choose_offer regarded the zone; cheapest_offer_for_task, hourly_budget and the last resort of rent_for_gangs did not. The type preferred for the service was right, the cheapest one that replaced it is not offered in its zone, so RentalManager::request found no zone and asked for nothing.

Change: planner::can_host answers it once (room for a task, an allowed type, an allowed zone) and all four use it.

--- a/src/leader/autoscaler.cpp
+++ b/src/leader/autoscaler.cpp
@@ -266,8 +266,7 @@
   std::size_t cheapest = preferred;
   for (std::size_t i = 0; i < offers.size(); ++i) {
     const auto& type = offers[i].machine_type;
-    if (planner::slots(work.request, type.capacity) >= 1 && planner::allows(work.machine_types, type.name) &&
-        type.hourly_price < offers[cheapest].machine_type.hourly_price)
+    if (planner::can_host(work, type) && type.hourly_price < offers[cheapest].machine_type.hourly_price)
       cheapest = i;
   }
   return cheapest;
--- a/src/leader/gangs.cpp
+++ b/src/leader/gangs.cpp
@@ -184,9 +184,7 @@
     workload.zone = job.spec.zone;
     workload.task_count = gangs_.tracker().span(id);
     for (const auto& offer : offers) {
-      if (planner::slots(workload.request, offer.machine_type.capacity) < 1 ||
-          !planner::allows(workload.machine_types, offer.machine_type.name))
-        continue;
+      if (!planner::can_host(workload, offer.machine_type)) continue;
       for (const auto& zone : offer.machine_type.zones) {
         if (zone == shortage.zone || (workload.zone && zone != *workload.zone)) continue;
         if (rental_manager_.request(offer.machine_type, false, workload.task_count, zone) > 0) return;
--- a/src/planner/planner.cpp
+++ b/src/planner/planner.cpp
@@ -58,19 +58,22 @@
   return longest;
 }
 
+bool can_host(const Workload& work, const wire::MachineType& machine_type) {
+  if (slots(work.request, machine_type.capacity) < 1) return false;
+  if (!allows(work.machine_types, machine_type.name)) return false;
+  const auto& zones = machine_type.zones;
+  return !work.zone || std::find(zones.begin(), zones.end(), *work.zone) != zones.end();
+}
+
 std::optional<std::size_t> choose_offer(const Workload& work, const std::vector<Offer>& offers) {
   std::optional<std::size_t> best;
   double best_price = 0;
   for (std::size_t i = 0; i < offers.size(); ++i) {
     const auto& machine_type = offers[i].machine_type;
-    const double count = slots(work.request, machine_type.capacity);
-    if (count < 1 || !allows(work.machine_types, machine_type.name)) continue;
-    if (work.zone && std::find(machine_type.zones.begin(), machine_type.zones.end(), *work.zone) ==
-                         machine_type.zones.end())
-      continue;
+    if (!can_host(work, machine_type)) continue;
     // Run times are the same on all types. Boot times differ, but one boot serves many short tasks: the price
     // per slot decides.
-    const double price = machine_type.hourly_price / count;
+    const double price = machine_type.hourly_price / slots(work.request, machine_type.capacity);
     if (!best || price < best_price) {
       best = i;
       best_price = price;
@@ -85,9 +88,7 @@
     double total = 0;
     double types = 0;
     for (const auto& offer : offers) {
-      if (slots(item.request, offer.machine_type.capacity) < 1 ||
-          !allows(item.machine_types, offer.machine_type.name))
-        continue;
+      if (!can_host(item, offer.machine_type)) continue;
       total += machines_needed(item, offer.machine_type.capacity) * offer.machine_type.hourly_price;
       ++types;
     }
--- a/src/planner/planner.hpp
+++ b/src/planner/planner.hpp
@@ -55,6 +55,9 @@
 // Whether a job with this list of machine types may use `machine_type`. A job without a list may use all.
 bool allows(const std::optional<std::vector<std::string>>& machine_types, const std::string& machine_type);
 
+// Whether a machine of this type holds a task of the workload and can be rented in a zone where it may run.
+bool can_host(const Workload& work, const wire::MachineType& machine_type);
+
 // Returns the index of the offer on which a task completes earliest if its machine has yet to be rented, and
 // of equal offers the one with the lowest price per slot. No value if a task fits no allowed offer.
 std::optional<std::size_t> choose_offer(const Workload& work, const std::vector<Offer>& offers);
--- a/tests/autoscaler_test.cpp
+++ b/tests/autoscaler_test.cpp
@@ -394,6 +394,15 @@
   EXPECT_EQ(request_zones, std::vector<std::string>{"b"});
 }
 
+// Guards against asking for the cheapest machine type although the zone of the job does not offer it.
+TEST_F(UnservedJobTest, RentsATypeThatTheZoneOfTheJobOffers) {
+  machine_types[1].zones = {"a", "b"};
+  job.spec.zone = "b";
+  plan();
+  EXPECT_EQ(requests, (std::vector<Request>{{"large", 1, false}}));
+  EXPECT_EQ(request_zones, std::vector<std::string>{"b"});
+}
+
 TEST_F(UnservedJobTest, RentsNothingIfAMachineHasFreeResources) {
   machine.used = {12, 0, 12};
   fleet.refresh(machine);
--- a/tests/planner_test.cpp
+++ b/tests/planner_test.cpp
@@ -84,6 +84,24 @@
   }
 }
 
+// Guards against counting machine types that a workload's zone does not offer.
+TEST(CanHost, RequiresRoomAnAllowedTypeAndAnAllowedZone) {
+  const auto small = offer("small", 4, 1, 0.25).machine_type;
+  auto item = work(4, 1, 100, false);
+  EXPECT_TRUE(can_host(item, small));
+  item.zone = "a";
+  item.machine_types = std::vector<std::string>{"small"};
+  EXPECT_TRUE(can_host(item, small));
+  item.zone = "b";
+  EXPECT_FALSE(can_host(item, small));
+  item.zone.reset();
+  item.machine_types = std::vector<std::string>{"large"};
+  EXPECT_FALSE(can_host(item, small));
+  item.machine_types.reset();
+  item.request.cores = 5;
+  EXPECT_FALSE(can_host(item, small));
+}
+
 TEST(Slack, IsTheTimeToTheDeadlineLessTheRunTime) {
   EXPECT_EQ(slack(true, 100.0, 10), 0);
   EXPECT_EQ(slack(false, 100.0, 10), 90);
