Autoscaler: room counts, and machines are rented, only where a job's rules on zones let its next task run

By the new tests, its second replica was not even started at first where the first one's zone had room, and a `together` service with room in another zone alone fared likewise.

Cause: two answers to "can this machine take the job's next task". Placement asks zone_allows(), which knows where the job's other tasks are; Autoscaler::has_available_machine looked at resources only and passed the job over. What was requested for such a job named no zone, so that it would have gone to the main zone.

Change: free, booting and joining machines count only in zones that zone_allows() admits, and one machine is requested in one of these (RentalManager::request_in_one_zone, the main zone first).

--- a/src/leader/autoscaler.cpp
+++ b/src/leader/autoscaler.cpp
@@ -129,7 +129,7 @@
   work.is_service = job.is_service();
   work.allows_preemptible = job.spec.allows_preemptible;
   work.machine_types = job.spec.machine_types;
-  work.zone = job.spec.zone;
+  if (job.spec.zone) work.zones = {*job.spec.zone};
   return work;
 }
 
@@ -215,17 +215,25 @@
     planner::Workload work;
     work.request = job->spec.request;
     work.machine_types = job->spec.machine_types;
-    work.zone = job->spec.zone;
+    work.zones = allowed_zones(*job);
     const auto preferred = planner::choose_offer(work, offers);
     if (!preferred || handled[*preferred]) continue;
     handled[*preferred] = true;
     if (view_.rentals.has_pending_rental()) continue;
     const auto& type = offers[cheapest_offer_for_task(work, offers, *preferred)].machine_type;
-    // A machine in another zone is of no use to a job that is bound to a zone.
-    view_.rentals.request(type, false, 1, job->spec.zone.value_or(""));
+    view_.rentals.request_in_one_zone(type, false, 1, work.zones);
   }
 }
 
+// The zones in which the next task of the job may run; no value: in all.
+std::optional<std::vector<std::string>> Autoscaler::allowed_zones(const Job& job) const {
+  if (!job.spec.has_zone_rules()) return std::nullopt;
+  std::vector<std::string> zones;
+  for (const auto& zone : planner::offered_zones(view_.machine_types))
+    if (ports_.zone_allows(job, zone)) zones.push_back(zone);
+  return zones;
+}
+
 // Whether the job's cutoff is far enough away that its tasks can wait for machines of its pools. Such a job
 // gets no machine beyond the plan, which spreads its work over the time left. With a machine for it whenever
 // all were busy, the job would have as many machines within minutes as without a calendar, and on-demand
@@ -244,12 +252,12 @@
   });
 }
 
-// Whether a machine that can take a task of the job has free resources, is booting or is joining.
+// Whether a machine that can take the next task of the job has free resources, is booting or is joining.
 bool Autoscaler::has_available_machine(const Job& job) const {
   const auto& pools = view_.fleet.pools();
   return std::any_of(pools.begin(), pools.end(), [&](const auto& entry) {
     const auto& [pool, state] = entry;
-    if (!model::allows(job.spec, pool)) return false;
+    if (!model::allows(job.spec, pool) || !ports_.zone_allows(job, pool.zone)) return false;
     if (state.totals.booting + state.totals.joining > 0 && job.spec.request.fits(state.capacity)) return true;
     // A machine on which tasks of the job failed takes no more of them. If such a machine counted, a job
     // whose tasks had failed on all machines would wait forever.
--- a/src/leader/autoscaler.hpp
+++ b/src/leader/autoscaler.hpp
@@ -56,6 +56,8 @@
     std::function<bool()> is_active_leader;
     // Whether tasks of the job may start now, not considering the team's quota.
     std::function<bool(const model::Job&)> may_start;
+    // Whether the job's rules on zones, given where its tasks are now, let another task run in the zone.
+    std::function<bool(const model::Job&, const std::string& zone)> zone_allows;
     // Whether the team's quota allows one more task of the job.
     std::function<bool(const model::Job&)> quota_allows;
     // Number of the job's ready tasks that may be placed.
@@ -132,6 +134,7 @@
   void rent_for_unserved_jobs(const Offers& offers);
   bool can_wait_for_plan(const model::Job& job) const;
   bool has_available_machine(const model::Job& job) const;
+  std::optional<std::vector<std::string>> allowed_zones(const model::Job& job) const;
   static std::size_t cheapest_offer_for_task(const planner::Workload& work, const Offers& offers,
                                              std::size_t preferred);
 
--- a/src/leader/gangs.cpp
+++ b/src/leader/gangs.cpp
@@ -164,33 +164,55 @@
     // Moving a gang needs no further quota: it is stopped before it is started again.
     const bool is_waiting = placeable_tasks(job) > 0;
     if (is_waiting && (!may_start(job) || !quota_admits(job, gangs_.tracker().span(id)))) continue;
-    const bool is_booting = std::any_of(
-        fleet_.pools().begin(), fleet_.pools().end(), [&, &shortage = shortage](const auto& entry) {
-          return model::allows(job.spec, entry.first) && entry.second.totals.booting > 0 &&
-                 (shortage.zone.empty() || entry.first.zone == shortage.zone) &&
-                 job.spec.request.fits(entry.second.capacity);
-        });
-    if (is_booting) return;
-    planner::Workload workload;
-    workload.request = job.spec.request;
-    workload.machine_types = job.spec.machine_types;
-    workload.zone = shortage.zone.empty() ? job.spec.zone : shortage.zone;
-    const auto offer_index = planner::choose_offer(workload, offers);
-    // If the cloud has no such machines in that zone, requests them in any other zone that the job allows.
-    // The next search then picks the zone with most machines.
-    if (offer_index && rental_manager_.request(offers[*offer_index].machine_type, false,
-                                               static_cast<double>(shortage.machines), shortage.zone) > 0)
-      return;
-    workload.zone = job.spec.zone;
-    workload.task_count = gangs_.tracker().span(id);
-    for (const auto& offer : offers) {
-      if (!planner::can_host(workload, offer.machine_type)) continue;
-      for (const auto& zone : offer.machine_type.zones) {
-        if (zone == shortage.zone || (workload.zone && zone != *workload.zone)) continue;
-        if (rental_manager_.request(offer.machine_type, false, workload.task_count, zone) > 0) return;
-      }
+    if (rent_for_gang(job, shortage, offers)) return;
+  }
+}
+
+// Returns whether machines for the gang were requested or are already booting.
+bool Leader::rent_for_gang(const Job& job, const gang::Shortage& shortage,
+                           const std::vector<planner::Offer>& offers) {
+  planner::Workload workload;
+  workload.request = job.spec.request;
+  workload.machine_types = job.spec.machine_types;
+  if (job.spec.has_zone_rules()) workload.zones = zones_for_gang(job);
+  auto workload_in_zone = workload;
+  if (!shortage.zone.empty()) workload_in_zone.zones = {shortage.zone};
+  if (is_machine_booting_for(job, workload_in_zone)) return true;
+  if (const auto offer = planner::choose_offer(workload_in_zone, offers);
+      offer &&
+      rental_manager_.request_in_one_zone(offers[*offer].machine_type, false,
+                                          static_cast<double>(shortage.machines), workload_in_zone.zones) > 0)
+    return true;
+  // If the cloud has no such machines in that zone, requests them in any other zone that the job allows. The
+  // next search then picks the zone with most machines.
+  const double gang_machines = gangs_.tracker().span(job.spec.id);
+  for (const auto& offer : offers) {
+    if (!planner::can_host(workload, offer.machine_type)) continue;
+    for (const auto& zone : offer.machine_type.zones) {
+      if (zone == shortage.zone || !planner::allows(workload.zones, zone)) continue;
+      if (rental_manager_.request(offer.machine_type, false, gang_machines, zone) > 0) return true;
     }
   }
+  return false;
+}
+
+// Whether a machine is booting that holds a task of the job and is in a zone of the workload.
+bool Leader::is_machine_booting_for(const Job& job, const planner::Workload& workload) const {
+  return std::any_of(fleet_.pools().begin(), fleet_.pools().end(), [&](const auto& entry) {
+    const auto& [pool, state] = entry;
+    return state.totals.booting > 0 && model::allows(job.spec, pool) &&
+           planner::allows(workload.zones, pool.zone) && job.spec.request.fits(state.capacity);
+  });
+}
+
+// The zones in which a whole gang of the job may run, given where the job's other tasks are.
+std::vector<std::string> Leader::zones_for_gang(const Job& job) const {
+  const auto constraints = gang_constraints(job);
+  const auto span = gangs_.tracker().span(job.spec.id);
+  std::vector<std::string> zones;
+  for (const auto& zone : planner::offered_zones(machine_types_))
+    if (constraints.zone_allows(span, zone)) zones.push_back(zone);
+  return zones;
 }
 
 void Leader::on_gang_machine_draining(const Machine& machine) {
--- a/src/leader/leader.hpp
+++ b/src/leader/leader.hpp
@@ -336,6 +336,10 @@
   int place_gangs(model::Job& job, CommandsByMachine& commands);
   void move_gangs();
   void rent_for_gangs(const std::vector<planner::Offer>& offers);
+  bool rent_for_gang(const model::Job& job, const gang::Shortage& shortage,
+                     const std::vector<planner::Offer>& offers);
+  bool is_machine_booting_for(const model::Job& job, const planner::Workload& workload) const;
+  std::vector<std::string> zones_for_gang(const model::Job& job) const;
   // Number of the job's ready tasks that can form complete replicas.
   std::uint32_t placeable_tasks(const model::Job& job) const;
   void on_gang_machine_draining(const model::Machine& machine);
--- a/src/leader/machines.cpp
+++ b/src/leader/machines.cpp
@@ -193,6 +193,9 @@
   Autoscaler::Ports ports;
   ports.is_active_leader = [this] { return is_active_leader(); };
   ports.may_start = [this](const model::Job& job) { return may_start(job); };
+  ports.zone_allows = [this](const model::Job& job, const std::string& zone) {
+    return zone_allows(job, zone);
+  };
   ports.quota_allows = [this](const model::Job& job) { return quota_admits(job); };
   ports.placeable_tasks = [this](const model::Job& job) { return placeable_tasks(job); };
   ports.is_gang = [this](const wire::JobId& id) { return gangs_.has_job(id); };
--- a/src/leader/rental_manager.cpp
+++ b/src/leader/rental_manager.cpp
@@ -135,6 +135,19 @@
   return requested;
 }
 
+double RentalManager::request_in_one_zone(const wire::MachineType& machine_type, bool preemptible,
+                                          double count,
+                                          const std::optional<std::vector<std::string>>& zones) {
+  if (!zones) return request(machine_type, preemptible, count);
+  auto main_zone_first = *zones;
+  std::stable_partition(main_zone_first.begin(), main_zone_first.end(),
+                        [this](const std::string& zone) { return zone == settings_.main_zone; });
+  for (const auto& zone : main_zone_first)
+    if (const double requested = request(machine_type, preemptible, count, zone); requested > 0)
+      return requested;
+  return 0;
+}
+
 double RentalManager::request_in_zone(const model::Pool& pool, double count) {
   // The cloud limits the machines per request, and kMaxRequestsPerPool requests at a time are enough to find
   // out whether it has the capacity. A pool without capacity at the last request gets a single request: with
--- a/src/leader/rental_manager.hpp
+++ b/src/leader/rental_manager.hpp
@@ -99,6 +99,10 @@
   // requested.
   double request(const wire::MachineType& machine_type, bool preemptible, double count,
                  const std::string& zone = "");
+  // The same in one of these zones: the main zone if it is among them, otherwise the first that may have
+  // capacity. No value: as in request() without a zone.
+  double request_in_one_zone(const wire::MachineType& machine_type, bool preemptible, double count,
+                             const std::optional<std::vector<std::string>>& zones);
 
   // Terminates a machine and returns it to the cloud.
   void terminate(model::Machine& machine, const std::string& reason);
--- a/src/planner/planner.cpp
+++ b/src/planner/planner.cpp
@@ -47,9 +47,14 @@
                    fit_count(request.ram_gb, capacity.ram_gb)});
 }
 
-bool allows(const std::optional<std::vector<std::string>>& machine_types, const std::string& machine_type) {
-  return !machine_types ||
-         std::find(machine_types->begin(), machine_types->end(), machine_type) != machine_types->end();
+bool allows(const std::optional<std::vector<std::string>>& names, const std::string& name) {
+  return !names || std::find(names->begin(), names->end(), name) != names->end();
+}
+
+std::set<std::string> offered_zones(const std::vector<wire::MachineType>& machine_types) {
+  std::set<std::string> zones;
+  for (const auto& type : machine_types) zones.insert(type.zones.begin(), type.zones.end());
+  return zones;
 }
 
 double longest_boot_s(const std::vector<wire::MachineType>& machine_types) {
@@ -61,8 +66,8 @@
 bool can_host(const Workload& work, const wire::MachineType& machine_type) {
   if (slots(work.request, machine_type.capacity) < 1) return false;
   if (!allows(work.machine_types, machine_type.name)) return false;
-  const auto& zones = machine_type.zones;
-  return !work.zone || std::find(zones.begin(), zones.end(), *work.zone) != zones.end();
+  return !work.zones || std::any_of(machine_type.zones.begin(), machine_type.zones.end(),
+                                    [&](const std::string& zone) { return allows(work.zones, zone); });
 }
 
 std::optional<std::size_t> choose_offer(const Workload& work, const std::vector<Offer>& offers) {
--- a/src/planner/planner.hpp
+++ b/src/planner/planner.hpp
@@ -4,6 +4,7 @@
 
 #include <cstdint>
 #include <optional>
+#include <set>
 #include <string>
 #include <vector>
 
@@ -26,7 +27,8 @@
   bool is_service = false;
   bool allows_preemptible = false;
   std::optional<std::vector<std::string>> machine_types;
-  std::optional<std::string> zone;
+  // The zones in which tasks may run; no value: in all.
+  std::optional<std::vector<std::string>> zones;
 };
 
 // A machine type of the cloud's catalogue, and whether it may be rented as spot machines.
@@ -52,8 +54,11 @@
 // Returns the longest boot time of the machine types, in seconds; 0 if there are none.
 double longest_boot_s(const std::vector<wire::MachineType>& machine_types);
 
-// Whether a job with this list of machine types may use `machine_type`. A job without a list may use all.
-bool allows(const std::optional<std::vector<std::string>>& machine_types, const std::string& machine_type);
+// Whether a list of machine types or zones contains `name`. No list allows all.
+bool allows(const std::optional<std::vector<std::string>>& names, const std::string& name);
+
+// Returns the zones in which machines of any of these types can be rented, in ascending order.
+std::set<std::string> offered_zones(const std::vector<wire::MachineType>& machine_types);
 
 // Whether a machine of this type holds a task of the workload and can be rented in a zone where it may run.
 bool can_host(const Workload& work, const wire::MachineType& machine_type);
--- a/src/wire/messages.hpp
+++ b/src/wire/messages.hpp
@@ -70,6 +70,8 @@
   std::optional<std::string> zone;
   bool zone_affinity = false;
   bool zone_spread = false;
+  // Whether a task may not run in all zones, or not wherever the job's other tasks run.
+  bool has_zone_rules() const { return zone || zone_affinity || zone_spread; }
   bool allows_preemptible = false;
   std::string image;
   double image_size_gb = 0;
--- a/tests/autoscaler_test.cpp
+++ b/tests/autoscaler_test.cpp
@@ -56,6 +56,9 @@
     Autoscaler::Ports result;
     result.is_active_leader = [this] { return may_act; };
     result.may_start = [this](const model::Job&) { return may_start; };
+    result.zone_allows = [this](const model::Job& job, const std::string& zone) {
+      return !forbidden_zones.contains(zone) && (!job.spec.zone || *job.spec.zone == zone);
+    };
     result.quota_allows = [this](const model::Job&) { return quota_allows; };
     result.placeable_tasks = [](const model::Job& job) { return job.ready_count; };
     result.is_gang = [this](const wire::JobId&) { return is_gang; };
@@ -138,6 +141,7 @@
   bool may_start = true;
   bool quota_allows = true;
   bool is_gang = false;
+  std::set<std::string> forbidden_zones;  // by the rules of all jobs on zones
   std::optional<double> core_limit;
 
   std::vector<Request> requests;
@@ -403,6 +407,27 @@
   EXPECT_EQ(request_zones, std::vector<std::string>{"b"});
 }
 
+// Guards against counting free resources in a zone where the job's other tasks leave no place for one more.
+TEST_F(UnservedJobTest, RentsInAnotherZoneIfTheRulesOnZonesForbidTheRoomThereIs) {
+  for (auto& type : machine_types) type.zones = {"a", "b"};
+  machine.used = {};
+  fleet.refresh(machine);
+  job.spec.zone_spread = true;
+  plan();
+  EXPECT_TRUE(requests.empty());
+  forbidden_zones = {"a"};
+  plan();
+  EXPECT_EQ(requests, (std::vector<Request>{{"small", 1, false}}));
+  EXPECT_EQ(request_zones, std::vector<std::string>{"b"});
+}
+
+TEST_F(UnservedJobTest, RentsNothingInZonesThatTheRulesForbid) {
+  job.spec.zone_affinity = true;
+  forbidden_zones = {"a"};
+  plan();
+  EXPECT_TRUE(requests.empty());
+}
+
 TEST_F(UnservedJobTest, RentsNothingIfAMachineHasFreeResources) {
   machine.used = {12, 0, 12};
   fleet.refresh(machine);
--- a/tests/planner_test.cpp
+++ b/tests/planner_test.cpp
@@ -89,12 +89,12 @@
   const auto small = offer("small", 4, 1, 0.25).machine_type;
   auto item = work(4, 1, 100, false);
   EXPECT_TRUE(can_host(item, small));
-  item.zone = "a";
+  item.zones = {"b", "a"};
   item.machine_types = std::vector<std::string>{"small"};
   EXPECT_TRUE(can_host(item, small));
-  item.zone = "b";
+  item.zones = {"b", "c"};
   EXPECT_FALSE(can_host(item, small));
-  item.zone.reset();
+  item.zones.reset();
   item.machine_types = std::vector<std::string>{"large"};
   EXPECT_FALSE(can_host(item, small));
   item.machine_types.reset();
--- a/tests/rental_manager_test.cpp
+++ b/tests/rental_manager_test.cpp
@@ -326,6 +326,21 @@
   EXPECT_EQ(by_zone, (std::map<std::string, std::uint32_t>{{"a", 1}, {"b", 2}, {"c", 1}}));
 }
 
+TEST_F(RentalManagerTest, RentsInOneOfTheAllowedZonesTheMainZoneFirst) {
+  settings.main_zone = "b";
+  restart();
+  const auto request_in = [this](const std::vector<std::string>& zones) {
+    const double requested = manager->request_in_one_zone(type, false, 2, zones);
+    return requested > 0 ? recorded_requests.back().record.zone : "none";
+  };
+  EXPECT_EQ(request_in({"a", "b", "c"}), "b");
+  EXPECT_EQ(request_in({"a", "c"}), "a");
+  EXPECT_EQ(request_in({"d", "c"}), "c");
+  EXPECT_EQ(request_in({}), "none");
+  EXPECT_EQ(manager->request_in_one_zone(type, false, 2, std::nullopt), 2);
+  EXPECT_EQ(recorded_requests.back().record.zone, "b");
+}
+
 TEST_F(RentalManagerTest, RentsOnDemandMachinesInTheMainZone) {
   settings.main_zone = "c";
   restart();
