Autoscaler: a job without a machine gets one of any type that serves it, whatever becomes of the others

What callers would see: a job that no machine can take waits for as long as the cloud has none of the cheapest type for it, although another type would do; and so does each other job that prefers the same type, in whatever zone.

Cause: rent_for_unserved_jobs asked for the cheapest type alone, and counted a type as handled once it had been looked at for one job, also where nothing could be requested for that one.

Change: all types that serve the job are tried, the cheapest first, until one can be requested; types that could not be requested in the job's zones are remembered for the round. As before, one machine is requested in a round and none while a request is pending.

Measured: UnservedJobTest.RentsAnotherTypeIfTheCheapestHasNoCapacity and .RentsForAJobBehindOneThatGetsNoMachine failed before and pass.

--- a/src/leader/autoscaler.cpp
+++ b/src/leader/autoscaler.cpp
@@ -206,9 +206,10 @@
   }
 }
 
-// Requests one machine of the type preferred by a ready job whose tasks no machine can take.
+// Requests one machine for a ready job whose tasks no machine can take.
 void Autoscaler::rent_for_unserved_jobs(const Offers& offers) {
-  std::vector<bool> handled(offers.size(), false);
+  if (view_.rentals.has_pending_rental()) return;
+  UnavailablePools unavailable;
   for (const auto& [id, job] : view_.queue.jobs()) {
     if (ports_.is_gang(id) || !ports_.may_start(*job) || !ports_.quota_allows(*job)) continue;
     if (can_wait_for_plan(*job) || has_available_machine(*job)) continue;
@@ -216,15 +217,27 @@
     work.request = job->spec.request;
     work.machine_types = job->spec.machine_types;
     work.zones = allowed_zones(*job);
-    const auto preferred = planner::choose_offer(work, offers);
-    if (!preferred || handled[*preferred]) continue;
-    handled[*preferred] = true;
-    if (view_.rentals.has_pending_rental()) continue;
-    const auto& type = offers[cheapest_offer_for_task(work, offers, *preferred)].machine_type;
-    view_.rentals.request_in_one_zone(type, false, 1, work.zones);
+    if (rent_cheapest_machine(work, offers, unavailable)) return;
   }
 }
 
+// Requests one machine of the cheapest type that can be had: no more tasks are known to need it. Returns
+// whether one was requested.
+bool Autoscaler::rent_cheapest_machine(const planner::Workload& work, const Offers& offers,
+                                       UnavailablePools& unavailable) {
+  std::vector<const wire::MachineType*> types;
+  for (const auto& offer : offers)
+    if (planner::can_host(work, offer.machine_type)) types.push_back(&offer.machine_type);
+  std::stable_sort(types.begin(), types.end(),
+                   [](const auto* a, const auto* b) { return a->hourly_price < b->hourly_price; });
+  for (const auto* type : types) {
+    if (unavailable.contains({type->name, work.zones})) continue;
+    if (view_.rentals.request_in_one_zone(*type, false, 1, work.zones) > 0) return true;
+    unavailable.insert({type->name, work.zones});
+  }
+  return false;
+}
+
 // The zones in which the next task of the job may run; no value: in all.
 std::optional<std::vector<std::string>> Autoscaler::allowed_zones(const Job& job) const {
   if (!job.spec.has_zone_rules()) return std::nullopt;
@@ -267,19 +280,6 @@
   });
 }
 
-// Returns the cheapest allowed offer that fits a task: one machine is rented for a single waiting task, since
-// no more are known to need it.
-std::size_t Autoscaler::cheapest_offer_for_task(const planner::Workload& work, const Offers& offers,
-                                                std::size_t preferred) {
-  std::size_t cheapest = preferred;
-  for (std::size_t i = 0; i < offers.size(); ++i) {
-    const auto& type = offers[i].machine_type;
-    if (planner::can_host(work, type) && type.hourly_price < offers[cheapest].machine_type.hourly_price)
-      cheapest = i;
-  }
-  return cheapest;
-}
-
 // Updates how many cores of on-demand machines are in excess of the plan. Excess machines take no more batch
 // tasks and are terminated once empty. Otherwise placement, which fills on-demand machines first, would keep
 // them busy forever at four times the price, while preemptible machines that are paid for stay idle. No more
--- a/src/leader/autoscaler.hpp
+++ b/src/leader/autoscaler.hpp
@@ -10,6 +10,7 @@
 #include <optional>
 #include <set>
 #include <string>
+#include <utility>
 #include <vector>
 
 #include "leader/rental_manager.hpp"
@@ -135,8 +136,10 @@
   bool can_wait_for_plan(const model::Job& job) const;
   bool has_available_machine(const model::Job& job) const;
   std::optional<std::vector<std::string>> allowed_zones(const model::Job& job) const;
-  static std::size_t cheapest_offer_for_task(const planner::Workload& work, const Offers& offers,
-                                             std::size_t preferred);
+  // Machine types that could not be requested in any of these zones (no value: in no zone).
+  using UnavailablePools = std::set<std::pair<std::string, std::optional<std::vector<std::string>>>>;
+  bool rent_cheapest_machine(const planner::Workload& work, const Offers& offers,
+                             UnavailablePools& unavailable);
 
   // Scaling in.
   void update_excess_cores(double missing_on_demand_cores);
--- a/tests/autoscaler_test.cpp
+++ b/tests/autoscaler_test.cpp
@@ -32,16 +32,19 @@
   RentalManager::Ports rental_ports() {
     RentalManager::Ports ports;
     ports.is_active_leader = [this] { return may_act; };
-    ports.send_to_cloud = [](const cloud::Cloud::Message&) {};
+    ports.send_to_cloud = [this](cloud::Cloud::Message message) {
+      if (auto* rent = std::get_if<cloud::Rent>(&message)) sent_requests.push_back(std::move(*rent));
+    };
     ports.machine_type = [this](const std::string& name) -> const wire::MachineType* {
       for (const auto& type : machine_types)
         if (type.name == name) return &type;
       return nullptr;
     };
     ports.store_request = [this](const std::string&, const wire::RentalRecord& record,
-                                 const std::function<void()>&) {
+                                 std::function<void()> stored) {
       requests.push_back({record.machine_type, record.count, record.preemptible});
       request_zones.push_back(record.zone);
+      stored_callbacks.push_back(std::move(stored));
     };
     ports.store_machines = [](const std::string&, const wire::RentalRecord&) {};
     ports.remove_record = [](const std::string&) {};
@@ -123,6 +126,13 @@
     return machine;
   }
 
+  // The cloud has no capacity for any of the machines requested so far.
+  void refuse_requests() {
+    for (const auto& stored : std::exchange(stored_callbacks, {})) stored();
+    for (const auto& request : std::exchange(sent_requests, {}))
+      request.done({cloud::RentalResult::Status::no_capacity, {}});
+  }
+
   void plan() {
     autoscaler.schedule_planning();
     loop.pass(1);
@@ -146,6 +156,8 @@
 
   std::vector<Request> requests;
   std::vector<std::string> request_zones;
+  std::vector<std::function<void()>> stored_callbacks;
+  std::vector<cloud::Rent> sent_requests;
   std::vector<wire::MachineId> terminating;
   std::map<std::string, int> events;
   Overload overload;
@@ -428,6 +440,28 @@
   EXPECT_TRUE(requests.empty());
 }
 
+// Guards against a job that waits for a type without capacity while the cloud has others.
+TEST_F(UnservedJobTest, RentsAnotherTypeIfTheCheapestHasNoCapacity) {
+  plan();
+  refuse_requests();
+  plan();
+  EXPECT_EQ(requests, (std::vector<Request>{{"small", 1, false}, {"large", 1, false}}));
+}
+
+// Guards against a job that waits since the machine of another job cannot be had.
+TEST_F(UnservedJobTest, RentsForAJobBehindOneThatGetsNoMachine) {
+  for (auto& type : machine_types) type.zones = {"a", "b"};
+  job.spec.zone = "a";
+  job.spec.machine_types = std::vector<std::string>{"small"};
+  auto& other = add_job(1);
+  other.spec.zone = "b";
+  other.spec.machine_types = std::vector<std::string>{"small"};
+  plan();
+  refuse_requests();
+  plan();
+  EXPECT_EQ(request_zones, (std::vector<std::string>{"a", "b"}));
+}
+
 TEST_F(UnservedJobTest, RentsNothingIfAMachineHasFreeResources) {
   machine.used = {12, 0, 12};
   fleet.refresh(machine);
