Autoscaler: a pending request counts for a job only if the machine could take its task

What callers would see: a job that no machine can take gets none while any request for machines is unanswered, also one for another zone or for preemptible machines that the job does not allow; in a fleet that grows all the time that may be always.

Cause: rent_for_unserved_jobs waited while RentalManager::has_pending_rental(), whatever was requested.

Change: requested machines count as available ones do, by type, zone, kind and rules on zones.

Measured: UnservedJobTest.RentsBesideRequestsThatAreOfNoUseToTheJob failed before and passes.

--- a/src/leader/autoscaler.cpp
+++ b/src/leader/autoscaler.cpp
@@ -206,13 +206,12 @@
   }
 }
 
-// Requests one machine for a ready job whose tasks no machine can take.
+// Requests one machine for a ready job whose tasks no machine can take, present or requested.
 void Autoscaler::rent_for_unserved_jobs(const Offers& offers) {
-  if (view_.rentals.has_pending_rental()) return;
   UnavailablePools unavailable;
   for (const auto& [id, job] : view_.queue.jobs()) {
     if (ports_.is_gang(id) || !ports_.may_start(*job) || !ports_.quota_allows(*job)) continue;
-    if (can_wait_for_plan(*job) || has_available_machine(*job)) continue;
+    if (can_wait_for_plan(*job) || has_available_machine(*job) || has_requested_machine(*job)) continue;
     planner::Workload work;
     work.request = job->spec.request;
     work.machine_types = job->spec.machine_types;
@@ -280,6 +279,18 @@
   });
 }
 
+// Whether a machine is requested that can take the next task of the job.
+bool Autoscaler::has_requested_machine(const Job& job) const {
+  bool found = false;
+  view_.rentals.visit_pending_rentals([&](const wire::RentalRecord& requested) {
+    const model::Pool pool{requested.machine_type, requested.zone, requested.preemptible};
+    const auto* type = machine_type(requested.machine_type);
+    found = found || (type != nullptr && job.spec.request.fits(type->capacity) &&
+                      model::allows(job.spec, pool) && ports_.zone_allows(job, pool.zone));
+  });
+  return found;
+}
+
 // Updates how many cores of on-demand machines are in excess of the plan. Excess machines take no more batch
 // tasks and are terminated once empty. Otherwise placement, which fills on-demand machines first, would keep
 // them busy forever at four times the price, while preemptible machines that are paid for stay idle. No more
--- a/src/leader/autoscaler.hpp
+++ b/src/leader/autoscaler.hpp
@@ -135,6 +135,7 @@
   void rent_for_unserved_jobs(const Offers& offers);
   bool can_wait_for_plan(const model::Job& job) const;
   bool has_available_machine(const model::Job& job) const;
+  bool has_requested_machine(const model::Job& job) const;
   std::optional<std::vector<std::string>> allowed_zones(const model::Job& job) const;
   // Machine types that could not be requested in any of these zones (no value: in no zone).
   using UnavailablePools = std::set<std::pair<std::string, std::optional<std::vector<std::string>>>>;
--- a/tests/autoscaler_test.cpp
+++ b/tests/autoscaler_test.cpp
@@ -440,6 +440,19 @@
   EXPECT_TRUE(requests.empty());
 }
 
+// Guards against a job that waits for requested machines of which none can take its tasks.
+TEST_F(UnservedJobTest, RentsBesideRequestsThatAreOfNoUseToTheJob) {
+  for (auto& type : machine_types) type.zones = {"a", "b"};
+  job.spec.zone = "a";
+  rentals.request(machine_types[0], true, 1, "a");
+  rentals.request(machine_types[0], false, 1, "b");
+  plan();
+  EXPECT_EQ(requests, (std::vector<Request>{{"small", 1, true}, {"small", 1, false}, {"small", 1, false}}));
+  EXPECT_EQ(request_zones, (std::vector<std::string>{"a", "b", "a"}));
+  plan();
+  EXPECT_EQ(requests.size(), 3U);
+}
+
 // Guards against a job that waits for a type without capacity while the cloud has others.
 TEST_F(UnservedJobTest, RentsAnotherTypeIfTheCheapestHasNoCapacity) {
   plan();
