Autoscaler: jobs without a machine get one also while the cloud has no preemptible machines

What callers would see: a job that no machine can take, bound to a zone for example, waits for as long as preemptible machines are out of capacity, whatever on-demand machines the cloud has.

Cause: plan() rents for such jobs only when it lacks neither on-demand nor preemptible cores. Preemptible cores that cannot be had are replaced by on-demand ones while tasks wait, but stay counted as missing.

Change: the on-demand cores decide, to which the missing preemptible ones were added.

Measured: UnservedJobTest.RentsWhilePreemptibleMachinesHaveNoCapacity failed before and passes.

--- a/src/leader/autoscaler.cpp
+++ b/src/leader/autoscaler.cpp
@@ -75,7 +75,8 @@
   ports_.report_core_demand(wanted.on_demand + wanted.preemptible,
                             std::max(0.0, missing.on_demand) + unmet_preemptible);
   update_excess_cores(missing.on_demand);
-  if (missing.on_demand <= 0 && missing.preemptible <= 0) rent_for_unserved_jobs(offers);
+  // Tasks that wait had missing preemptible cores added to the on-demand ones above.
+  if (missing.on_demand <= 0) rent_for_unserved_jobs(offers);
   ports_.rent_for_gangs(offers);
 }
 
--- a/tests/autoscaler_test.cpp
+++ b/tests/autoscaler_test.cpp
@@ -453,6 +453,26 @@
   EXPECT_EQ(requests.size(), 3U);
 }
 
+// Guards against a job that waits for as long as the cloud has no preemptible machines.
+TEST_F(UnservedJobTest, RentsWhilePreemptibleMachinesHaveNoCapacity) {
+  machine_types[1].zones = {"a", "b"};
+  job.spec.zone = "b";
+  job.spec.machine_types = std::vector<std::string>{"large"};
+  add_job(8, true);
+  for (int i = 0; i < 2; ++i) {  // more on-demand cores than the plan wants, all in use
+    auto& full = add_machine("large", false);
+    full.used = full.capacity;
+    fleet.refresh(full);
+  }
+  for (int round = 0; round < 5 && (requests.empty() || requests.back().preemptible); ++round) {
+    plan();
+    refuse_requests();
+  }
+  ASSERT_FALSE(requests.empty());
+  EXPECT_EQ(requests.back(), (Request{"large", 1, false}));
+  EXPECT_EQ(request_zones.back(), "b");
+}
+
 // Guards against a job that waits for a type without capacity while the cloud has others.
 TEST_F(UnservedJobTest, RentsAnotherTypeIfTheCheapestHasNoCapacity) {
   plan();
