Placement: a machine gets no more tasks than its heartbeat may list

What callers saw: 1,250 small tasks went to one machine with 64 cores.

Cause: tasks per machine were bounded by resources alone. What a heartbeat can list is a resource of the machine too.

Change: wire::kMaxHeartbeatTasks, from the 64 KiB, 1 KiB for what else a heartbeat has and the longest entry that a task can have (128 bytes). A machine that lists as many, exited ones included, has no resources available, so that placement, indexes, reservations, replicas and the autoscaler agree; planner::slots counts no more tasks on a machine, so that enough machines are rented. The stops of a cancelled job, sent to a machine in one request, stay below 64 KiB by the same bound.

--- a/src/gang/gang_fit.cpp
+++ b/src/gang/gang_fit.cpp
@@ -39,8 +39,9 @@
 bool is_usable(const Machine& machine, const PlacementSearch& search) {
   wire::Resources available = machine.available();
   available += search.spec.request;  // includes what is reserved for this gang
-  return machine.takes_tasks() && !machine.overdue && search.spec.request.fits(available) &&
-         !search.excluded_machines.contains(machine.id) && search.is_suitable(machine);
+  return machine.takes_tasks() && !machine.overdue && machine.can_list_more_tasks() &&
+         search.spec.request.fits(available) && !search.excluded_machines.contains(machine.id) &&
+         search.is_suitable(machine);
 }
 
 struct ZoneSearchResult {
--- a/src/leader/leader.hpp
+++ b/src/leader/leader.hpp
@@ -47,8 +47,8 @@
 
 // Low bits of an attempt number, which count the attempts of one term. The bits above them hold the term.
 constexpr unsigned kAttemptBits = 24;
-// Number of exited attempts listed by an agent from which on starts are not sent to it directly: a heartbeat
-// holds at most 64 KiB, which is some 600 tasks.
+// Number of exited attempts listed by an agent from which on starts are not sent to it directly: they take
+// the place of tasks in its heartbeats (wire::kMaxHeartbeatTasks).
 constexpr std::size_t kMaxExitedAttempts = 200;
 inline std::uint64_t term_of_attempt(wire::AttemptNumber attempt) { return attempt.value >> kAttemptBits; }
 
--- a/src/model/machine.hpp
+++ b/src/model/machine.hpp
@@ -135,7 +135,13 @@
   DownlinkHealth downlink;
   std::optional<IndexEntry> index_entry;  // its entry in the indexes of Fleet; nullopt: not indexed
 
+  // Whether the agent can list one more task in its heartbeats, which would otherwise not be accepted and not
+  // renew its lease.
+  bool can_list_more_tasks() const {
+    return assignments.size() + exited_attempts.size() < wire::kMaxHeartbeatTasks;
+  }
   wire::Resources available() const {
+    if (!can_list_more_tasks()) return {};
     wire::Resources free = capacity;
     free -= used;
     free -= reserved;
--- a/src/planner/planner.cpp
+++ b/src/planner/planner.cpp
@@ -42,7 +42,7 @@
 }
 
 double slots(const wire::Resources& request, const wire::Resources& capacity) {
-  return std::min({fit_count(request.cores, capacity.cores),
+  return std::min({static_cast<double>(wire::kMaxHeartbeatTasks), fit_count(request.cores, capacity.cores),
                    fit_count(request.accelerators, capacity.accelerators),
                    fit_count(request.ram_gb, capacity.ram_gb)});
 }
--- a/src/planner/planner.hpp
+++ b/src/planner/planner.hpp
@@ -48,7 +48,8 @@
   double hourly_budget = 0;
 };
 
-// Returns how many tasks with this request a machine of the given capacity runs at the same time.
+// Returns how many tasks with this request a machine of the given capacity runs at the same time; never more
+// than its heartbeats can list.
 double slots(const wire::Resources& request, const wire::Resources& capacity);
 
 // Returns the longest boot time of the machine types, in seconds; 0 if there are none.
--- a/src/wire/messages.hpp
+++ b/src/wire/messages.hpp
@@ -15,6 +15,11 @@
 
 constexpr std::size_t kMaxBody = std::size_t{64} * 1024;
 constexpr std::uint32_t kMaxTasks = 100'000;
+// Upper bounds on the length of a heartbeat without its tasks and of the entry of one task, in bytes.
+constexpr std::size_t kMaxHeartbeatFrameBytes = 1024;
+constexpr std::size_t kMaxTaskStatusBytes = 128;
+// Tasks that an agent can list at the most, exited ones included, in a heartbeat that the protocol allows.
+constexpr std::size_t kMaxHeartbeatTasks = (kMaxBody - kMaxHeartbeatFrameBytes) / kMaxTaskStatusBytes;
 
 // A message that breaks the protocol; what() tells how.
 struct ProtocolError : std::runtime_error {
--- a/tests/fleet_test.cpp
+++ b/tests/fleet_test.cpp
@@ -136,6 +136,28 @@
   EXPECT_LT(thousands, 2 * tens + 5);
 }
 
+// Guards against placing tasks on a machine whose heartbeats can list no more of them.
+TEST(Fleet, OffersNoMachineWhoseListOfTasksIsFull) {
+  Fleet fleet;
+  auto& machine = *fleet.add(machine_id(0)).first;
+  make_ready(fleet, machine, "large", 16, false);
+  const auto job = spec(0.01, "x");
+  auto query = make_query(job, false);
+  const auto half = static_cast<std::uint32_t>(wire::kMaxHeartbeatTasks / 2);
+  for (std::uint32_t index = 0; index < half; ++index) machine.assignments[{job.id, index}] = {};
+  for (std::uint32_t index = half; index + 1 < wire::kMaxHeartbeatTasks; ++index)
+    machine.exited_attempts[{job.id, index}] = {};
+  fleet.refresh(machine);
+  EXPECT_EQ(fleet.find_best(query), &machine);
+  machine.assignments[{job.id, half * 2}] = {};
+  fleet.refresh(machine);
+  EXPECT_EQ(fleet.find_best(query), nullptr);
+  EXPECT_EQ(fleet.total().free_cores, 0);
+  machine.exited_attempts.clear();
+  fleet.refresh(machine);
+  EXPECT_EQ(fleet.find_best(query), &machine);
+}
+
 TEST(Fleet, VisitsAllMachinesInTurn) {
   Fleet fleet;
   for (int i = 0; i < 10; ++i) make_ready(fleet, *fleet.add(machine_id(i)).first, "small", 4, false);
--- a/tests/planner_test.cpp
+++ b/tests/planner_test.cpp
@@ -84,6 +84,12 @@
   }
 }
 
+// Guards against planning for more tasks on a machine than its heartbeats can list.
+TEST(Slots, AreAtMostAsManyAsAHeartbeatCanList) {
+  EXPECT_EQ(slots({0.05, 0, 0.2}, {64, 0, 256}), static_cast<double>(wire::kMaxHeartbeatTasks));
+  EXPECT_EQ(slots({0.5, 0, 0.2}, {64, 0, 256}), 128);
+}
+
 // Guards against counting machine types that a workload's zone does not offer.
 TEST(CanHost, RequiresRoomAnAllowedTypeAndAnAllowedZone) {
   const auto small = offer("small", 4, 1, 0.25).machine_type;
--- a/tests/sim/machines.cpp
+++ b/tests/sim/machines.cpp
@@ -146,6 +146,7 @@
   const auto arrives = [this, node, zone, host = machine.id, request, report, receive, sent] {
     to_node(node, request, [this, zone, node, host, report, receive, sent](const Response& response) {
       if (response.status == 200) rules_.note_heard(report, true);
+      rules_.check_body(controller_name(node) + ": an answer to a heartbeat", response.body);
       if (response.status == 200 && response.body.find("\"verb\"") != std::string::npos)
         tell(Moment::ordered, node);
       const auto back = [this, node, host, receive, response, sent, ordered = now()] {
@@ -162,6 +163,8 @@
     });
   };
   if (mute) return;
+  rules_.check_body(machine.id + ": a heartbeat", request.body);
+  if (request.body.size() > wire::kMaxBody) return;  // refused unread
   if (now() < held_reports_.until && chance(held_reports_.share)) {
     held_reports_.bodies.push_back(request.body);
     return;
@@ -193,6 +196,7 @@
   const auto report = report_of(machine);
   rules_.note_heard(report, false);
   auto answer = to_json(report).dump();
+  rules_.check_body(machine.id + ": an answer to commands", answer);
   keep_copy(answer);
   return {200, std::move(answer), std::nullopt};
 }
--- a/tests/sim/network.cpp
+++ b/tests/sim/network.cpp
@@ -123,7 +123,10 @@
         peer, me, after, [reply, response] { reply(response); }, response.body);
   };
   if (state && request.path == "/commit") tell(Moment::committed, node);
-  if (!state && !cloud && request.path == "/commands") tell(Moment::ordered, node);
+  if (!state && !cloud && request.path == "/commands") {
+    tell(Moment::ordered, node);
+    rules_.check_body(me + ": commands", request.body);
+  }
   std::vector<std::uint64_t> starts;
   const auto* cut = link(me, peer);
   if (!state && !cloud && request.path == "/commands" && (cut == nullptr || cut->hold))
--- a/tests/sim/rule_checker.cpp
+++ b/tests/sim/rule_checker.cpp
@@ -33,6 +33,11 @@
   broken_.push_back(rule + " at " + std::to_string(world_.now()) + ": " + what);
 }
 
+void RuleChecker::check_body(const std::string& what, const std::string& body) {
+  if (body.size() > wire::kMaxBody)
+    violate("too_long", what + " of " + std::to_string(body.size()) + " bytes");
+}
+
 // What was called cancelled runs nowhere after the time that its tasks have to end.
 void RuleChecker::check_cancelled_tasks() {
   const double now = world_.now();
--- a/tests/sim/rule_checker.hpp
+++ b/tests/sim/rule_checker.hpp
@@ -49,6 +49,8 @@
   void check_forget(const SimMachine& machine, const wire::Command& command);
   // A machine accepts a start, or refuses it and lists it as exited.
   void check_accepted(SimMachine& machine, const wire::TaskId& task, wire::AttemptNumber attempt);
+  // Between a controller and a machine a body, and a line of an answer, has at most 64 KiB.
+  void check_body(const std::string& what, const std::string& body);
   // A controller has answered this report of a machine with 200; or the report is the answer to a command.
   void note_heard(const wire::Heartbeat& report, bool answered);
   // A controller's answer to a question about the job that was sent at `asked` names this phase.
--- a/tests/waiting_jobs_test.cpp
+++ b/tests/waiting_jobs_test.cpp
@@ -77,5 +77,19 @@
   EXPECT_TRUE(cluster.broken().empty()) << listing(cluster.broken());
 }
 
+// Guards against a machine that gets more tasks than its heartbeats may list and loses all of them with its
+// lease.
+TEST(WaitingJobs, MoreSmallTasksThanAHeartbeatListsAreSpreadOverMachines) {
+  SimulatedCluster cluster(kSeed, kControllers);
+  cluster.run(5);
+  auto job = kept_batch(1200, 0.01, 15);
+  job.spec.request.ram_gb = 0.01;
+  job.spec.machine_types = std::vector<std::string>{"large"};
+  const auto job_id = cluster.submit(job);
+  EXPECT_TRUE(run_within(cluster, kStrandedS, [&] { return cluster.jobs().at(job_id).told_done; }));
+  EXPECT_EQ(cluster.starts(), 1200U);
+  EXPECT_TRUE(cluster.broken().empty()) << listing(cluster.broken());
+}
+
 }  // namespace
 }  // namespace bankhill::sim
--- a/tests/wire_test.cpp
+++ b/tests/wire_test.cpp
@@ -94,6 +94,24 @@
   EXPECT_EQ(to_json(parse_heartbeat(to_json(heartbeat))), to_json(heartbeat));
 }
 
+// Guards against machines with more tasks than a heartbeat may list.
+TEST(Report, HoldsTheMostTasksThatAMachineMayHave) {
+  Heartbeat heartbeat;
+  heartbeat.machine_id = {std::string(64, 'n')};
+  heartbeat.address = std::string(64, '9');
+  heartbeat.machine_type = heartbeat.zone = std::string(64, 'z');
+  heartbeat.agent_epoch.value = heartbeat.sequence = heartbeat.fencing_token.value = ~std::uint64_t{0};
+  heartbeat.preemption_notice_s = 1.0 / 3;
+  const JobId longest_id{"job-" + std::string(20, '9')};
+  const TaskStatus longest{{longest_id, kMaxTasks - 1},
+                           {~std::uint64_t{0}},
+                           TaskState::exited,
+                           ExitReason::insufficient_resources,
+                           true};
+  heartbeat.tasks.assign(kMaxHeartbeatTasks, longest);
+  EXPECT_LE(to_json(heartbeat).dump().size(), kMaxBody);
+}
+
 TEST(Orders, RoundTrip) {
   const std::vector<Command> commands = {{CommandType::start, {JobId{"job-1"}, 4}, AttemptNumber{2}, 0},
                                          {CommandType::stop, {JobId{"job-1"}, 5}, AttemptNumber{1}, 10}};
