Leader: commands and exited tasks in files of their own

heartbeats.cpp had grown to some 800 lines about three things. What is sent to agents (responses, direct commands and their answers) moves to commands.cpp, what becomes of exited tasks, jobs and faulty machines to task_exits.cpp. stop_commands_for() becomes a method, and whether a task is active a question to wire::TaskStatus. No change of behaviour.

--- a/src/leader/heartbeats.cpp
+++ b/src/leader/heartbeats.cpp
@@ -1,4 +1,4 @@
-// Heartbeats of agents, and the commands in the responses to them.
+// Heartbeats of agents: what they show of their machines and tasks.
 #include <algorithm>
 #include <utility>
 
@@ -9,58 +9,18 @@
 using model::Assignment;
 using model::AssignmentState;
 using model::ExitedAttempt;
-using model::Job;
 using model::Machine;
 using queue::estimated_runtime_s;
-using state::FlushDelay;
 using wire::Command;
-using wire::CommandType;
 using wire::ExitReason;
 using wire::TaskState;
 
 namespace {
-// A machine counts as faulty after this many failures in a row, or after failures of this many jobs. A job
-// counts as faulty after failures on this many machines.
-constexpr std::uint32_t kMachineErrorThreshold = 3;
-constexpr std::size_t kMachineErrorJobThreshold = 2;
-constexpr std::size_t kJobErrorMachineThreshold = 3;
-const std::string kTasksFailReason = "its tasks fail";
-// Pause after the n-th failure in a row: n times the step, up to the maximum, in control intervals.
-constexpr double kBackoffStepIntervals = 2;
-constexpr double kMaxBackoffIntervals = 20;
-// Minimum number of forget commands that are sent in a response of their own. Fewer wait for other commands
-// or the next regular heartbeat, because an agent that executes forget commands sends another heartbeat.
-constexpr std::size_t kMinForgetBatch = 64;
 // A heartbeat that arrives later than this share of the heartbeat interval after the previous one is a
 // regular one; an earlier one reports a change.
 constexpr double kRegularHeartbeatShare = 0.7;
-// Maximum number of commands in a response, which keeps it below 64 KiB.
-constexpr std::size_t kMaxCommands = 400;
-
-bool is_active(const wire::TaskStatus& task_status) { return task_status.state != TaskState::exited; }
-
-// Invariant 34: a response extends the lease of all tasks that the heartbeat lists, so it stops those of
-// ended jobs, even if the rest of the heartbeat is not trusted: the next response may never arrive. Each
-// command names the attempt, so a newer attempt of the task is not affected.
-std::vector<Command> stop_commands_for(const wire::Heartbeat& heartbeat,
-                                       const std::map<wire::JobId, Job>& jobs) {
-  std::vector<Command> stops;
-  for (const auto& task_status : heartbeat.tasks) {
-    const auto job = jobs.find(task_status.task.job);
-    const bool job_ended = job == jobs.end() || job->second.has_ended();
-    if (job_ended && is_active(task_status) && stops.size() < kMaxCommands)
-      stops.push_back({CommandType::stop, task_status.task, task_status.attempt, 0});
-  }
-  return stops;
-}
 }  // namespace
 
-// The only place that creates responses that extend an agent's lease (invariant 34).
-wire::HeartbeatResponse Leader::accepted_response(std::vector<Command> commands) const {
-  if (!is_active_leader()) return {};
-  return {0, wire::HeartbeatResult::accepted, wire::FencingToken{term_}, std::move(commands)};
-}
-
 void Leader::on(HeartbeatReceived& message) {
   if (!is_active_leader()) return message.reply({});
   record_leading();
@@ -73,7 +33,8 @@
     if (brief) return message.reply(resend_response);
     // The lease of an unregistered machine is not tracked, so it is not extended while anything runs there
     // (invariants 5 and 29).
-    const bool idle = std::none_of(heartbeat.tasks.begin(), heartbeat.tasks.end(), is_active);
+    const bool idle = std::none_of(heartbeat.tasks.begin(), heartbeat.tasks.end(),
+                                   [](const auto& task_status) { return task_status.is_active(); });
     probe_unregistered_machine(heartbeat, idle);
     return message.reply(idle ? accepted_response({}) : wire::HeartbeatResponse{});
   }
@@ -99,7 +60,7 @@
   machine->lease.record_renewal(loop().now());
   machine->answered_at = loop().now();
   update_lease_forecast(*machine);
-  if (!is_new) return message.reply(accepted_response(stop_commands_for(heartbeat, jobs_)));
+  if (!is_new) return message.reply(accepted_response(stop_commands_for(heartbeat)));
   machine->downlink.response_sent(loop().now(), heartbeat.sequence, heartbeat.agent_epoch,
                                   wire::FencingToken{term_}, message.forwarded_by);
   // Tasks placed in the scheduled pass are started with this response, which saves a request and a heartbeat
@@ -133,7 +94,7 @@
   machine.heartbeat_sequence = heartbeat.sequence;
   machine.last_contact = machine.last_heartbeat_received_at = now;
   machine.lease.record_renewal(now);  // The heartbeat may still be current (invariant 6).
-  reply(accepted_response(stop_commands_for(heartbeat, jobs_)));
+  reply(accepted_response(stop_commands_for(heartbeat)));
 }
 
 // Invariant 26: probes a machine that no stored record names. It is recorded and used only after it has
@@ -512,257 +473,6 @@
   schedule_placement();
 }
 
-void Leader::on_task_exited(Machine& machine, const wire::TaskStatus& task_status) {
-  const auto found = machine.assignments.find(task_status.task);
-  const Assignment assignment = found->second;
-  ExitedAttempt exited_attempt{task_status.attempt, true, assignment.in_flight_starts};
-  remove_assignment(machine, task_status.task);
-  const auto job = jobs_.find(task_status.task.job);
-  const bool live = job != jobs_.end() && job->second.is_live() && !assignment.orphaned;
-  if (live && task_status.exit_reason == ExitReason::done) {
-    machine.errors_in_row = 0;
-    machine.error_jobs.clear();
-    job->second.failures_in_row = 0;
-    job->second.failed_on.clear();
-    job->second.set_reason({});
-    if (std::exchange(job->second.faulty, false))
-      log_->info("job {}: a task completed, the job no longer counts as faulty", job->second.spec.id.value);
-    exited_attempt.stored = false;  // Invariant 7.
-    on_task_completed(job->second, task_status.task.index, exit_stored_callback(machine, task_status.task));
-  } else if (live && task_status.exit_reason != ExitReason::stopped) {
-    log_->debug("machine {}: {} exited with {}", machine.id.value, task_status.task.text(),
-                name_of(task_status.exit_reason));
-    ++event_counts_[std::string("tasks exited with ") + name_of(task_status.exit_reason)];
-    on_task_failed(machine, job->second, task_status.exit_reason);
-  }
-  machine.exited_attempts[task_status.task] = exited_attempt;
-}
-
-// Returns a callback to be called after an exit is stored: the attempt may then be forgotten (invariant 7).
-std::function<void()> Leader::exit_stored_callback(const Machine& machine, const wire::TaskId& task_id) {
-  return [this, machine_id = machine.id, task_id] {
-    auto* found = fleet_.find(machine_id);
-    if (found == nullptr) return;
-    if (const auto left = found->exited_attempts.find(task_id); left != found->exited_attempts.end())
-      left->second.stored = true;
-  };
-}
-
-// Distinguishes a faulty machine from a faulty job. A job is faulty if it failed on several machines and none
-// of its tasks finished since: one of its tasks is tried from time to time, and its failures are not held
-// against machines. A machine is faulty if several jobs fail there, or if a job that works elsewhere fails
-// there repeatedly. When every failure counted against the machine and one batch in 25 was faulty, 200
-// healthy machines were taken out of use on a day without a faulty one (lakaskalk-ops).
-void Leader::on_task_failed(Machine& machine, Job& job, ExitReason reason) {
-  job.set_reason(std::string("a task failed: ") + name_of(reason));
-  job.progress_dirty = true;
-  if (reason == ExitReason::error) {
-    job.failed_on.insert(machine.id);
-    // A job with a complete replica is not faulty: tasks of services never finish, so finished tasks prove
-    // nothing for them.
-    const bool has_complete_replica = gangs_.tracker().running_gangs(job.spec.id) > 0;
-    if (!job.faulty) {
-      ++machine.errors_in_row;
-      machine.error_jobs.insert(job.spec.id);
-      if (job.failed_on.size() >= kJobErrorMachineThreshold && !has_complete_replica) {
-        job.faulty = true;
-        log_->warn(
-            "job {}: tasks failed on {} machines; trying one task at a time until one completes or the job "
-            "is cancelled",
-            job.spec.id.value, job.failed_on.size());
-        clear_failures_of_faulty_job(job);
-      }
-    }
-    const bool machine_faulty = machine.error_jobs.size() >= kMachineErrorJobThreshold ||
-                                (!job.faulty && (job.finished_count > 0 || has_complete_replica) &&
-                                 machine.errors_in_row >= kMachineErrorThreshold);
-    if (machine_faulty && !machine.draining) {
-      drain(machine, kTasksFailReason);
-      log_->warn("machine {}: tasks fail there repeatedly, draining it", machine.id.value);
-    }
-    if (!job.faulty) return;
-    job.set_reason("its tasks fail on every machine tried");
-  }
-  // After a refused start or a failure on all machines the job is tried again later, with growing pauses.
-  const double now = loop().now();
-  if (now < job.blocked_until) return;
-  ++job.failures_in_row;
-  job.blocked_until = now + std::min(kMaxBackoffIntervals, kBackoffStepIntervals * job.failures_in_row) *
-                                settings_.control_interval_s;
-  if (job.faulty) job.failed_on.clear();
-}
-
-// Clears the failures of a faulty job from its machines, which are not to blame for them.
-void Leader::clear_failures_of_faulty_job(Job& job) {
-  for (const auto& machine_id : job.failed_on) {
-    auto* machine = fleet_.find(machine_id);
-    if (machine == nullptr || machine->error_jobs.erase(job.spec.id) == 0) continue;
-    machine->errors_in_row = 0;
-    if (machine->error_jobs.size() < kMachineErrorJobThreshold) cancel_drain(*machine, kTasksFailReason);
-  }
-}
-
-void Leader::on_task_completed(Job& job, std::uint32_t index, std::function<void()> on_stored) {
-  job.set_task_progress(index, model::kTaskDone);
-  update_queue_membership(job);
-  ++event_counts_["tasks done"];
-  if (job.finished_count < job.spec.task_count)
-    return completion_bitmaps_.store(
-        completion_bitmaps_.ensure_record(job, index / wire::kCompletionChunkTasks), FlushDelay::exits,
-        std::move(on_stored));
-  log_->debug("job {}: all {} tasks done, {:.1f} s after acceptance (class {}, estimated {:.1f} s each)",
-              job.spec.id.value, job.spec.task_count, loop().wall() - job.accepted_at, job.spec.job_class,
-              job.spec.estimated_runtime_s);
-  ++event_counts_["jobs done"];
-  write_job_done(job, std::move(on_stored));
-}
-
-void Leader::write_job_done(const Job& job, Continuation on_stored) {
-  writes_.store(
-      wire::job_key(job.spec.id),
-      final_record_json(make_job_record(job), wire::JobState::done, loop().wall(), writes_.value_limit()),
-      dependencies_.has_dependents(job.spec.id) ? FlushDelay::awaited : FlushDelay::none,
-      std::move(on_stored));
-}
-
-// Marks the assignment as stopping; returns the stop command.
-Command Leader::mark_stopping(Assignment& assignment, double grace_period_s) {
-  assignment.stopping = true;
-  assignment.grace_period_s = grace_period_s;
-  return {CommandType::stop, assignment.task, assignment.attempt, grace_period_s};
-}
-
-// Withdraws a start that the heartbeat being answered does not show, from a machine that gets no more starts:
-// the start may have been lost, and the task would stay bound to the machine (invariant 6).
-void Leader::withdraw_start(const Machine& machine, Assignment& assignment) {
-  assignment.stopping = true;
-  ++event_counts_["starts withdrawn from draining machines"];
-  log_->debug("machine {}: {} has not started before the drain, its start is withdrawn", machine.id.value,
-              assignment.task.text());
-}
-
-void Leader::stop_all_tasks(const Job& job) {
-  std::map<wire::MachineId, std::vector<Command>> commands;
-  for (const auto& [index, machine_id] : job.task_machines) {
-    auto* machine = fleet_.find(machine_id);
-    if (machine == nullptr) continue;
-    const auto assignment = machine->assignments.find({job.spec.id, index});
-    if (assignment != machine->assignments.end())
-      commands[machine_id].push_back(mark_stopping(assignment->second, 0));
-  }
-  for (auto& [machine_id, list] : commands) send_commands(*fleet_.find(machine_id), std::move(list));
-}
-
-// Tells afterwards why an attempt could be forgotten: the token rules out direct starts sent under lower
-// ones.
-void Leader::log_forgets(const Machine& machine, const std::vector<Command>& forgets) {
-  if (forgets.empty()) return;
-  event_counts_["exited attempts forgotten"] += forgets.size();
-  for (const auto& forget : forgets)
-    log_->debug("machine {}: attempt {} of {} is forgotten under fencing token {}, agent epoch {}",
-                machine.id.value, forget.attempt.value, forget.task.text(), term_, machine.agent_epoch.value);
-}
-
-std::vector<Command> Leader::commands_for(Machine& machine, std::uint64_t answered_sequence) {
-  std::vector<Command> forgets;
-  for (auto& [task_id, exited_attempt] : machine.exited_attempts) {
-    // Invariant 7: a direct start command of this attempt that arrives later would start it once more.
-    // The agent has seen the token of this response when it executes the commands.
-    const bool settled = exited_attempt.in_flight_starts.direct_starts_settled(wire::FencingToken{term_});
-    if (exited_attempt.stored && settled && forgets.size() < kMaxCommands / 2)
-      forgets.push_back({CommandType::forget, task_id, exited_attempt.attempt, 0});
-  }
-  std::vector<Command> commands;
-  for (auto& [task_id, assignment] : machine.assignments) {
-    if (commands.size() >= kMaxCommands / 2) break;
-    if (machine.draining && assignment.state == AssignmentState::sent && !assignment.stopping)
-      withdraw_start(machine, assignment);
-    if (assignment.stopping) {
-      commands.push_back({CommandType::stop, task_id, assignment.attempt, assignment.grace_period_s});
-    } else if (assignment.state == AssignmentState::sent && machine.takes_tasks()) {
-      commands.push_back({CommandType::start, task_id, assignment.attempt, 0});
-      assignment.in_flight_starts.record_response_start(answered_sequence);
-    }
-  }
-  // The agent sends another heartbeat after it has forgotten something, so few forget commands wait for other
-  // commands or for the next regular heartbeat. They come first in the response all the same, because a start
-  // command may be for a task that is forgotten here.
-  if (commands.empty() && !machine.regular_heartbeat && forgets.size() < kMinForgetBatch) return commands;
-  log_forgets(machine, forgets);
-  forgets.insert(forgets.end(), commands.begin(), commands.end());
-  return forgets;
-}
-
-void Leader::send_commands(Machine& machine, std::vector<Command> commands, Continuation on_done) {
-  if (!is_active_leader() || machine.address.empty()) {
-    if (on_done) loop().post(guard(std::move(on_done)));
-    return;
-  }
-  const wire::FencingToken fencing_token{term_};
-  for (const auto& command : commands)
-    if (command.type == CommandType::start)
-      machine.assignments.at(command.task).in_flight_starts.record_direct_start(fencing_token);
-  // A machine whose agent epoch is not known yet answers 409 with its heartbeat, which contains it.
-  const auto agent_epoch = std::max<std::uint64_t>(1, machine.agent_epoch.value);
-  const wire::Json body{
-      {"fence", fencing_token.value}, {"tenure", agent_epoch}, {"orders", to_json(commands)}};
-  machine.last_probe = loop().now();
-  machine.downlink.probe_sent(loop().now(), machine_monitor_.timing());
-  // A probe without commands may be lost without harm. The timeout is shorter for unconfirmed machines and
-  // where services run.
-  const bool short_timeout = !machine.confirmed || (commands.empty() && machine.service_cores > 0);
-  const double timeout_s = short_timeout ? kUnconfirmedProbeTimeoutIntervals * settings_.control_interval_s
-                                         : settings_.control_interval_s;
-  ports_.workers.send(machine.address, {net::Method::post, "/commands", body.dump()}, timeout_s,
-                      guard([this, machine_id = machine.id, commands = std::move(commands),
-                             newest_received = machine.newest_received(), term = first_term_,
-                             on_done = std::move(on_done)](const net::Response& response) {
-                        if (!is_leader_ || term != first_term_) return;
-                        on_command_answered(machine_id, commands, newest_received, response);
-                        if (on_done) on_done();
-                      }));
-}
-
-void Leader::on_command_answered(const wire::MachineId& machine_id, const std::vector<Command>& commands,
-                                 const std::pair<wire::AgentEpoch, std::uint64_t>& newest_received,
-                                 const net::Response& response) {
-  auto* found = fleet_.find(machine_id);
-  if (found == nullptr) return;
-  auto& machine = *found;
-  const bool answered = response.status == 200 || response.status == 409;
-  const bool has_start = std::any_of(commands.begin(), commands.end(), [](const Command& command) {
-    return command.type == CommandType::start;
-  });
-  const auto downlink_before = machine.downlink.state();
-  machine.downlink.probe_ended(loop().now(), machine_monitor_.timing(), answered);
-  if (!answered && has_start) {
-    machine.uncertain_start_at = loop().now();
-    machine.downlink.command_unanswered(loop().now());
-  }
-  machine_monitor_.on_downlink_changed(machine, downlink_before);
-  if (!answered) {
-    ++machine.probes_unanswered;
-    reachability_probe_.record_suspicion();
-    return;
-  }
-  machine_monitor_.record_direct_contact();
-  try {
-    const auto heartbeat = wire::parse_heartbeat(wire::parse_object(response.body));
-    if (heartbeat.machine_id != machine.id) return;
-    if (std::pair(heartbeat.agent_epoch, heartbeat.sequence) <= newest_received)
-      return on_machine_restarted(machine);
-    const auto assumed_epoch = machine.agent_epoch;
-    apply_heartbeat(machine, heartbeat, nullptr);
-    // The agent epoch differed from the assumed one: shows the fencing token again, for the actual agent
-    // epoch.
-    if (response.status == 409 && !machine.confirmed && machine.agent_epoch != assumed_epoch)
-      send_commands(machine, {});
-  } catch (const std::exception& error) {
-    log_->warn("machine {}: response to a direct request cannot be parsed: {}", machine_id.value,
-               error.what());
-  }
-}
-
 void Leader::on_preemption_notice(Machine& machine, double preemption_notice_s) {
   const double now = loop().now();
   if (machine.preemption_at) return;
--- a/src/leader/leader.hpp
+++ b/src/leader/leader.hpp
@@ -232,7 +232,7 @@
   void delete_recreated_record(const std::string& key);
   bool is_deleted_record(const std::string& key) const;
 
-  // Machines and their heartbeats (heartbeats.cpp)
+  // Machines, their heartbeats, commands and exited tasks (heartbeats.cpp, commands.cpp, task_exits.cpp)
   void probe_unregistered_machine(const wire::Heartbeat& heartbeat, bool answered);
   void register_machine(const wire::Heartbeat& heartbeat, std::optional<double> answered_at);
   void on_machine_up(model::Machine& machine, const wire::Heartbeat& heartbeat, bool expected);
@@ -250,6 +250,7 @@
                         const std::string& forwarded_by, bool lost_start, bool ran_start);
   void record_contact(model::Machine& machine, const wire::Heartbeat& heartbeat, bool direct);
   wire::HeartbeatResponse accepted_response(std::vector<wire::Command> commands) const;
+  std::vector<wire::Command> stop_commands_for(const wire::Heartbeat& heartbeat) const;
   void apply_task_status(model::Machine& machine, const wire::TaskStatus& task_status);
   void on_task_exited(model::Machine& machine, const wire::TaskStatus& task_status);
   void on_task_completed(model::Job& job, std::uint32_t index, std::function<void()> on_stored);
--- a/src/wire/messages.hpp
+++ b/src/wire/messages.hpp
@@ -116,6 +116,7 @@
   TaskState state = TaskState::pulling_image;
   ExitReason exit_reason = ExitReason::none;
   bool checkpoint_saved = false;
+  bool is_active() const { return state != TaskState::exited; }
   bool operator==(const TaskStatus&) const = default;
 };
 
