--- a/tests/waiting_jobs_test.cpp
+++ b/tests/waiting_jobs_test.cpp
@@ -12,7 +12,7 @@
 namespace {
 
 constexpr std::uint64_t kSeed = 3;
-constexpr int kControllers = 3;    // two of them in zone za, the main zone
+constexpr int kControllers = 3;
 constexpr double kStrandedS = 90;  // the operators' limit on waiting
 constexpr std::uint32_t kGangSpan = 3;
 
